--- /dev/null
+++ b/src/main/java/hyssopturn/Main.java
@@ -0,0 +1,15 @@
+package hyssopturn;
+
+/** Entry point of the {@code hyssopturn} program. */
+public final class Main {
+    private Main() {}
+
+    /**
+     * Runs the program.
+     *
+     * @param args command line
+     */
+    public static void main(String[] args) {
+        System.out.println("hyssopturn");
+    }
+}
--- /dev/null
+++ b/src/main/java/hyssopturn/helper/package-info.java
@@ -0,0 +1,2 @@
+/** Argument checks shared by every package. */
+package hyssopturn.helper;
--- /dev/null
+++ b/src/main/java/hyssopturn/model/LayerRange.java
@@ -0,0 +1,46 @@
+package hyssopturn.model;
+
+import hyssopturn.helper.Check;
+
+/**
+ * Consecutive layers of a model, half open.
+ *
+ * @param from first layer, from 0
+ * @param to layer after the last one
+ */
+public record LayerRange(int from, int to) implements Comparable<LayerRange> {
+    /** Checks that the range is not empty. */
+    public LayerRange {
+        Check.that(from >= 0 && to > from, "layer range must satisfy 0 <= from < to");
+    }
+
+    /**
+     * Counts the layers.
+     *
+     * @return number of layers, at least 1
+     */
+    public int size() {
+        return to - from;
+    }
+
+    /**
+     * Tells whether another range lies within this one.
+     *
+     * @param other the other range
+     * @return true if every layer of it is here
+     */
+    public boolean contains(LayerRange other) {
+        return from <= other.from && other.to <= to;
+    }
+
+    @Override
+    public int compareTo(LayerRange other) {
+        int byFrom = Integer.compare(from, other.from);
+        return byFrom != 0 ? byFrom : Integer.compare(to, other.to);
+    }
+
+    @Override
+    public String toString() {
+        return from + "-" + to;
+    }
+}
--- /dev/null
+++ b/src/main/java/hyssopturn/model/package-info.java
@@ -0,0 +1,2 @@
+/** Values and typed errors that every package speaks in. */
+package hyssopturn.model;
--- /dev/null
+++ b/src/main/java/hyssopturn/package-info.java
@@ -0,0 +1,2 @@
+/** Router for model pipelines over one pool of mixed accelerators. */
+package hyssopturn;
