--- /dev/null
+++ b/src/main/java/hyssopturn/admit/package-info.java
@@ -0,0 +1,2 @@
+/** Admission: queues, feasibility, fairness and limits. */
+package hyssopturn.admit;
--- /dev/null
+++ b/src/main/java/hyssopturn/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Command line. */
+package hyssopturn.cli;
--- /dev/null
+++ b/src/main/java/hyssopturn/event/package-info.java
@@ -0,0 +1,2 @@
+/** Bounded ring of typed events for the time line. */
+package hyssopturn.event;
--- /dev/null
+++ b/src/main/java/hyssopturn/filter/package-info.java
@@ -0,0 +1,2 @@
+/** Filter chain that every request passes. */
+package hyssopturn.filter;
--- /dev/null
+++ b/src/main/java/hyssopturn/node/package-info.java
@@ -0,0 +1,2 @@
+/** Assembly of a node from its parts. */
+package hyssopturn.node;
--- a/src/main/java/hyssopturn/port/EngineClient.java
+++ b/src/main/java/hyssopturn/port/EngineClient.java
@@ -126,11 +126,12 @@
     /**
      * Cached state of one request at consecutive layers.
      *
+     * @param model the model and version
      * @param layers the layers
      * @param position number of tokens that the state covers
      * @param data opaque bytes of the engine
      */
-    record KvState(LayerRange layers, int position, Bytes data) {}
+    record KvState(ModelId model, LayerRange layers, int position, Bytes data) {}
 
     /**
      * What an engine says of itself.
--- a/src/main/java/hyssopturn/port/InstanceList.java
+++ b/src/main/java/hyssopturn/port/InstanceList.java
@@ -11,4 +11,12 @@
      * @return every instance known to the platform; fails with a {@link PortException}
      */
     CompletableFuture<List<Instance>> list();
+
+    /**
+     * Announces this instance; it stays listed only while it is announced again and again.
+     *
+     * @param self the entry
+     * @return completes when the platform has it; fails with a {@link PortException}
+     */
+    CompletableFuture<Void> announce(Instance self);
 }
--- /dev/null
+++ b/src/main/java/hyssopturn/route/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of the chain of engines that runs a request. */
+package hyssopturn.route;
--- /dev/null
+++ b/src/main/java/hyssopturn/run/package-info.java
@@ -0,0 +1,2 @@
+/** Drivers that run a request through its chain and keep its answer. */
+package hyssopturn.run;
--- /dev/null
+++ b/src/main/java/hyssopturn/wire/HttpCaller.java
@@ -0,0 +1,157 @@
+package hyssopturn.wire;
+
+import hyssopturn.model.Address;
+import hyssopturn.port.EngineClient.Dial;
+import hyssopturn.port.FailedException;
+import hyssopturn.port.InDoubtException;
+import hyssopturn.port.PortException;
+import hyssopturn.port.RefusedException;
+import hyssopturn.port.RefusedException.Reason;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonObject;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+/** Calls over HTTP whose failures say whether the call may have taken effect. */
+public final class HttpCaller implements AutoCloseable {
+    private static final int POOL_PER_HOST = 256;
+    private static final int OK_LOW = 200;
+    private static final int OK_HIGH = 299;
+
+    private final HttpClient pooled;
+    private final HttpClient fresh;
+    private final Duration timeout;
+
+    /**
+     * Creates the caller.
+     *
+     * @param vertx event loops to run on
+     * @param connectTimeout greatest time to make a connection
+     * @param timeout greatest time that a call may be idle
+     */
+    public HttpCaller(Vertx vertx, Duration connectTimeout, Duration timeout) {
+        HttpClientOptions options =
+                new HttpClientOptions()
+                        .setConnectTimeout((int) connectTimeout.toMillis())
+                        .setTcpNoDelay(true)
+                        .setKeepAlive(true);
+        PoolOptions pool = new PoolOptions().setHttp1MaxSize(POOL_PER_HOST);
+        pooled = vertx.createHttpClient(options, pool);
+        fresh = vertx.createHttpClient(new HttpClientOptions(options).setKeepAlive(false), pool);
+        this.timeout = timeout;
+    }
+
+    /**
+     * Calls with a JSON body and reads a JSON answer.
+     *
+     * @param method HTTP method
+     * @param to receiver
+     * @param path path and query
+     * @param body body, empty for none
+     * @param dial which connection to use
+     * @return the answer; fails with a {@link PortException}
+     */
+    public CompletableFuture<JsonObject> json(
+            HttpMethod method, Address to, String path, JsonObject body, Dial dial) {
+        Buffer bytes = body.isEmpty() ? Buffer.buffer() : body.toBuffer();
+        return call(method, to, path, bytes, timeout, dial).thenApply(HttpCaller::parse);
+    }
+
+    /**
+     * Calls with a body and reads the whole answer.
+     *
+     * @param method HTTP method
+     * @param to receiver
+     * @param path path and query
+     * @param body body, empty for none
+     * @param wait greatest time that the call may be idle
+     * @param dial which connection to use
+     * @return the body of the answer; fails with a {@link PortException}
+     */
+    public CompletableFuture<Buffer> call(
+            HttpMethod method, Address to, String path, Buffer body, Duration wait, Dial dial) {
+        RequestOptions options =
+                new RequestOptions()
+                        .setMethod(method)
+                        .setHost(to.host())
+                        .setPort(to.port())
+                        .setURI(path)
+                        .setIdleTimeout(wait.toMillis());
+        HttpClient client = dial == Dial.FRESH ? fresh : pooled;
+        CompletableFuture<Buffer> answer = new CompletableFuture<>();
+        client.request(options)
+                .onFailure(e -> answer.completeExceptionally(unreachable(to, e)))
+                .onSuccess(request -> send(to, request, body, answer));
+        return answer;
+    }
+
+    private static void send(
+            Address to, HttpClientRequest request, Buffer body, CompletableFuture<Buffer> answer) {
+        request.send(body)
+                .compose(HttpCaller::whole)
+                .onFailure(e -> answer.completeExceptionally(failure(to, e)))
+                .onSuccess(answer::complete);
+    }
+
+    private static Future<Buffer> whole(HttpClientResponse response) {
+        int status = response.statusCode();
+        return response.body()
+                .compose(
+                        body ->
+                                status >= OK_LOW && status <= OK_HIGH
+                                        ? Future.succeededFuture(body)
+                                        : Future.failedFuture(error(status, body)));
+    }
+
+    private static PortException error(int status, Buffer body) {
+        try {
+            JsonObject json = body.length() == 0 ? new JsonObject() : body.toJsonObject();
+            String message = json.getString("message", "status " + status);
+            if (json.containsKey("refused")) {
+                return new RefusedException(Reason.valueOf(json.getString("refused")), message);
+            }
+            if (json.containsKey("failed")) {
+                return new FailedException(message);
+            }
+        } catch (DecodeException | IllegalArgumentException | ClassCastException e) {
+            return new InDoubtException("answer with status " + status + " is malformed", e);
+        }
+        return new InDoubtException("answer with status " + status);
+    }
+
+    private static PortException unreachable(Address to, Throwable cause) {
+        return new RefusedException(Reason.UNREACHABLE, to + ": " + cause.getMessage());
+    }
+
+    private static PortException failure(Address to, Throwable cause) {
+        return cause instanceof PortException known
+                ? known
+                : new InDoubtException("call to " + to + " broke: " + cause.getMessage(), cause);
+    }
+
+    private static JsonObject parse(Buffer body) {
+        try {
+            return body.length() == 0 ? new JsonObject() : body.toJsonObject();
+        } catch (DecodeException | ClassCastException e) {
+            throw new InDoubtException("answer is malformed", e);
+        }
+    }
+
+    @Override
+    public void close() {
+        pooled.close();
+        fresh.close();
+    }
+}
