--- /dev/null
+++ b/src/main/java/hyssopturn/log/package-info.java
@@ -0,0 +1,2 @@
+/** Following and appending to streams of the platform's log. */
+package hyssopturn.log;
--- /dev/null
+++ b/src/main/java/hyssopturn/route/ChainChooser.java
@@ -0,0 +1,28 @@
+package hyssopturn.route;
+
+import hyssopturn.member.View;
+import hyssopturn.model.ModelSpec;
+
+import java.util.Optional;
+
+/** Chooses the chain that runs a request. */
+@FunctionalInterface
+public interface ChainChooser {
+    /**
+     * Chooses a chain.
+     *
+     * @param query what is to run
+     * @param view engines that may run it
+     * @return a chain over all layers, empty if there is none
+     */
+    Optional<Chain> choose(Query query, View view);
+
+    /**
+     * What is to run.
+     *
+     * @param model the model
+     * @param promptTokens number of tokens of the prompt
+     * @param prefix hash of the prompt's prefix
+     */
+    record Query(ModelSpec model, int promptTokens, long prefix) {}
+}
