--- /dev/null
+++ b/src/main/java/hyssopturn/filter/Exchange.java
@@ -0,0 +1,96 @@
+package hyssopturn.filter;
+
+import hyssopturn.model.AccountId;
+import hyssopturn.model.Bytes;
+import hyssopturn.model.ClassName;
+import hyssopturn.model.Config;
+import hyssopturn.model.RequestId;
+import hyssopturn.model.WorkClass;
+
+import java.util.Optional;
+
+/** A request on its way through the filters, with what they have found out. */
+public final class Exchange {
+    private final RequestId request;
+    private final Call call;
+    private final Config config;
+    private final long arrivedNanos;
+    private AccountId account;
+    private WorkClass workClass;
+
+    /**
+     * Creates an exchange.
+     *
+     * @param request the request
+     * @param call what the caller sent
+     * @param config configuration in force when it arrived
+     * @param arrivedNanos when it arrived, on the node's monotonic clock
+     */
+    public Exchange(RequestId request, Call call, Config config, long arrivedNanos) {
+        this.request = request;
+        this.call = call;
+        this.config = config;
+        this.arrivedNanos = arrivedNanos;
+    }
+
+    /**
+     * What a caller sent.
+     *
+     * @param workClass class that the caller named
+     * @param bearer bearer token, if given
+     * @param key idempotency key, if given
+     * @param input what is to be done
+     */
+    public record Call(
+            ClassName workClass, Optional<String> bearer, Optional<String> key, Input input) {}
+
+    /** What is to be done. */
+    public sealed interface Input {
+        /**
+         * A prompt for a model.
+         *
+         * @param prompt text of the prompt
+         * @param maxTokens greatest number of tokens of the answer
+         */
+        record Text(String prompt, int maxTokens) implements Input {}
+
+        /**
+         * A body for a service.
+         *
+         * @param body body as JSON
+         */
+        record Json(Bytes body) implements Input {}
+    }
+
+    RequestId request() {
+        return request;
+    }
+
+    Call call() {
+        return call;
+    }
+
+    Config config() {
+        return config;
+    }
+
+    long arrivedNanos() {
+        return arrivedNanos;
+    }
+
+    AccountId account() {
+        return account;
+    }
+
+    void account(AccountId value) {
+        account = value;
+    }
+
+    WorkClass workClass() {
+        return workClass;
+    }
+
+    void workClass(WorkClass value) {
+        workClass = value;
+    }
+}
--- /dev/null
+++ b/src/main/java/hyssopturn/run/Driver.java
@@ -0,0 +1,17 @@
+package hyssopturn.run;
+
+import hyssopturn.model.AnswerEvent;
+
+import io.smallrye.mutiny.Multi;
+
+/** Runs generations. */
+@FunctionalInterface
+public interface Driver {
+    /**
+     * Runs a generation from its first token to its end.
+     *
+     * @param generation what to run
+     * @return tokens in order, then one end; cancelling it cancels the run at the engines
+     */
+    Multi<AnswerEvent> run(Generation generation);
+}
--- /dev/null
+++ b/src/main/java/hyssopturn/run/Prompt.java
@@ -0,0 +1,100 @@
+package hyssopturn.run;
+
+import hyssopturn.helper.Check;
+import hyssopturn.model.Bytes;
+
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+
+/** A prompt as ids of tokens. */
+public final class Prompt {
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    private final long[] ids;
+
+    private Prompt(long[] ids) {
+        Check.that(ids.length > 0, "a prompt needs a token");
+        this.ids = ids;
+    }
+
+    /**
+     * Splits a text into tokens at white space.
+     *
+     * @param text the text
+     * @return the prompt
+     * @throws hyssopturn.helper.InvalidArgumentException if the text is blank
+     */
+    public static Prompt of(String text) {
+        Check.notBlank(text, "prompt");
+        String[] words = text.strip().split("\\s+", -1);
+        return new Prompt(Arrays.stream(words).mapToLong(Prompt::hash).toArray());
+    }
+
+    /**
+     * Takes ids as they are.
+     *
+     * @param ids the ids
+     * @return the prompt
+     */
+    public static Prompt ofIds(long... ids) {
+        return new Prompt(ids.clone());
+    }
+
+    /**
+     * Counts the tokens.
+     *
+     * @return number of tokens, at least 1
+     */
+    public int size() {
+        return ids.length;
+    }
+
+    /**
+     * Returns the ids.
+     *
+     * @return a copy
+     */
+    public long[] ids() {
+        return ids.clone();
+    }
+
+    /**
+     * Hashes the first tokens.
+     *
+     * @param count greatest number of tokens taken in
+     * @return hash of the prefix
+     */
+    public long prefix(int count) {
+        long value = FNV_OFFSET;
+        for (int i = 0; i < Math.min(count, ids.length); i++) {
+            value = (value ^ ids[i]) * FNV_PRIME;
+        }
+        return value;
+    }
+
+    /**
+     * Packs the ids as the input of layer 0.
+     *
+     * @return 8 bytes a token
+     */
+    public Bytes pack() {
+        return pack(ids);
+    }
+
+    static Bytes pack(long... values) {
+        ByteBuffer buffer = ByteBuffer.allocate(values.length * Long.BYTES);
+        for (long value : values) {
+            buffer.putLong(value);
+        }
+        return Bytes.wrap(buffer.array());
+    }
+
+    private static long hash(String word) {
+        long value = FNV_OFFSET;
+        for (int i = 0; i < word.length(); i++) {
+            value = (value ^ word.charAt(i)) * FNV_PRIME;
+        }
+        return value;
+    }
+}
