--- /dev/null
+++ b/src/main/java/hyssopturn/front/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP for callers and operators. */
+package hyssopturn.front;
--- /dev/null
+++ b/src/main/java/hyssopturn/node/Node.java
@@ -0,0 +1,240 @@
+package hyssopturn.node;
+
+import com.google.common.flogger.FluentLogger;
+
+import hyssopturn.admit.OpenAdmission;
+import hyssopturn.config.ConfigController;
+import hyssopturn.event.Detail;
+import hyssopturn.event.EventRing;
+import hyssopturn.event.HybridClock;
+import hyssopturn.filter.AccountFilter;
+import hyssopturn.filter.AdmitFilter;
+import hyssopturn.filter.ClassFilter;
+import hyssopturn.filter.Credentials;
+import hyssopturn.filter.DrainFilter;
+import hyssopturn.filter.Exchange;
+import hyssopturn.filter.FilterChain;
+import hyssopturn.filter.LedgerFilter;
+import hyssopturn.filter.OutcomeFilter;
+import hyssopturn.filter.RunFilter;
+import hyssopturn.ledger.LogLedger;
+import hyssopturn.member.Directory;
+import hyssopturn.member.View;
+import hyssopturn.model.AnswerEvent;
+import hyssopturn.model.Config;
+import hyssopturn.model.RequestId;
+import hyssopturn.port.Instance;
+import hyssopturn.route.RoundRobinChooser;
+import hyssopturn.run.Answers;
+import hyssopturn.run.NaiveDriver;
+import hyssopturn.run.ServiceDriver;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.smallrye.mutiny.Multi;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** One entry instance: controllers that keep its state and filters that handle requests. */
+public final class Node {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final Duration ANNOUNCE_INTERVAL = Duration.ofSeconds(2);
+
+    private final Ports ports;
+    private final MeterRegistry meters;
+    private final EventRing events;
+    private final ConfigController config;
+    private final Directory directory;
+    private final LogLedger ledger;
+    private final Answers answers;
+    private final DrainFilter drain = new DrainFilter();
+    private final FilterChain filters;
+    private Instance self;
+    private volatile boolean stopped;
+
+    /**
+     * Assembles a node that has not started.
+     *
+     * @param self how the node is listed
+     * @param settings its settings
+     * @param ports everything outside
+     * @param meters where it counts
+     */
+    public Node(Instance self, NodeSettings settings, Ports ports, MeterRegistry meters) {
+        this.self = self;
+        this.ports = ports;
+        this.meters = meters;
+        events = new EventRing(self.id(), new HybridClock(ports.clock()), settings.eventCapacity());
+        config = new ConfigController(ports.log(), ports.clock());
+        directory =
+                new Directory(
+                        ports.instances(),
+                        ports.engines(),
+                        ports.clock(),
+                        events,
+                        settings.pollInterval());
+        ledger = new LogLedger(ports.log(), ports.clock(), this::uniqueName);
+        answers = new Answers(ports.clock(), settings.answerKeep(), settings.answerBytes());
+        filters = filters(settings);
+    }
+
+    private FilterChain filters(NodeSettings settings) {
+        return new FilterChain(
+                List.of(
+                        new OutcomeFilter(events, meters),
+                        drain,
+                        new AccountFilter(new Credentials(settings.accountSecret())),
+                        new ClassFilter(events),
+                        new LedgerFilter(ledger, events),
+                        new AdmitFilter(new OpenAdmission(), ports.clock()),
+                        new RunFilter(
+                                new NaiveDriver(
+                                        ports.engines(),
+                                        new RoundRobinChooser(),
+                                        directory::view,
+                                        events),
+                                new ServiceDriver(
+                                        ports.services(),
+                                        directory::view,
+                                        ports.random(),
+                                        events))));
+    }
+
+    /** Starts the controllers. */
+    public void start() {
+        config.listen(c -> events.record(new Detail.ConfigInForce(c.version())));
+        config.start();
+        directory.start();
+        ledger.start();
+        announce();
+        state("started");
+    }
+
+    private void announce() {
+        if (!stopped) {
+            ports.instances().announce(self);
+            ports.clock().after(ANNOUNCE_INTERVAL, this::announce);
+        }
+    }
+
+    private void state(String state) {
+        logger.atInfo().log("node=%s state=%s", self.id(), state);
+        events.record(new Detail.NodeState(state));
+    }
+
+    /**
+     * Takes a request; its answer is read by its name.
+     *
+     * @param call what the caller sent
+     * @return name of the request
+     */
+    public RequestId submit(Exchange.Call call) {
+        RequestId request = new RequestId(uniqueName());
+        Exchange exchange = new Exchange(request, call, config.current(), ports.clock().nanos());
+        answers.start(request, Multi.createFrom().deferred(() -> filters.handle(exchange)));
+        return request;
+    }
+
+    private String uniqueName() {
+        return "%s.%016x%08x"
+                .formatted(self.id(), ports.random().nextLong(), ports.random().nextInt());
+    }
+
+    /**
+     * Reads an answer.
+     *
+     * @param request name of the request
+     * @param from number of events to skip
+     * @return the rest of the answer, empty if it is not kept here
+     */
+    public Optional<Multi<AnswerEvent>> answer(RequestId request, int from) {
+        return answers.read(request, from);
+    }
+
+    /**
+     * Tells whether the node can serve.
+     *
+     * @return true once it has a configuration and sees endpoints, until it shuts down
+     */
+    public boolean ready() {
+        return config.current().version() > 0
+                && ledger.ready()
+                && !directory.view().engines().isEmpty()
+                && !drain.draining();
+    }
+
+    /**
+     * Shuts down gracefully: refuses new requests and waits for those in progress.
+     *
+     * @return completes when none is in progress
+     */
+    public CompletableFuture<Void> drain() {
+        state("draining");
+        self =
+                new Instance(
+                        self.id(),
+                        self.incarnation(),
+                        self.role(),
+                        self.address(),
+                        self.zone(),
+                        true);
+        ports.instances().announce(self);
+        return drain.drain();
+    }
+
+    /** Stops the controllers at once. */
+    public void stop() {
+        stopped = true;
+        config.stop();
+        directory.stop();
+        ledger.stop();
+        state("stopped");
+    }
+
+    /**
+     * Returns how the node is listed.
+     *
+     * @return its entry
+     */
+    public Instance self() {
+        return self;
+    }
+
+    /**
+     * Returns the configuration in force.
+     *
+     * @return the configuration
+     */
+    public Config config() {
+        return config.current();
+    }
+
+    /**
+     * Returns what the node knows of others.
+     *
+     * @return the view
+     */
+    public View view() {
+        return directory.view();
+    }
+
+    /**
+     * Returns the recent events.
+     *
+     * @return the ring
+     */
+    public EventRing events() {
+        return events;
+    }
+
+    /**
+     * Counts requests in progress.
+     *
+     * @return number of requests
+     */
+    public int running() {
+        return drain.running();
+    }
+}
--- /dev/null
+++ b/src/main/java/hyssopturn/node/NodeSettings.java
@@ -0,0 +1,43 @@
+package hyssopturn.node;
+
+import hyssopturn.model.Zone;
+
+import java.time.Duration;
+
+/**
+ * Settings of a node.
+ *
+ * @param zone zone that the node stands in
+ * @param accountSecret secret of the callers' bearer tokens
+ * @param peerSecret secret of the links between nodes
+ * @param pollInterval time between two readings of the instance list
+ * @param answerKeep how long a finished answer is kept
+ * @param answerBytes greatest size of all answers kept, in bytes
+ * @param eventCapacity number of events kept for the time line
+ */
+public record NodeSettings(
+        Zone zone,
+        String accountSecret,
+        String peerSecret,
+        Duration pollInterval,
+        Duration answerKeep,
+        long answerBytes,
+        int eventCapacity) {
+
+    /**
+     * Returns settings that suit a trial on one machine.
+     *
+     * @param zone zone that the node stands in
+     * @return the settings
+     */
+    public static NodeSettings trial(Zone zone) {
+        return new NodeSettings(
+                zone,
+                "trial-accounts",
+                "trial-peers",
+                Duration.ofMillis(500),
+                Duration.ofMinutes(5),
+                64L << 20,
+                10_000);
+    }
+}
--- /dev/null
+++ b/src/main/java/hyssopturn/node/Ports.java
@@ -0,0 +1,30 @@
+package hyssopturn.node;
+
+import hyssopturn.port.Clock;
+import hyssopturn.port.EngineClient;
+import hyssopturn.port.InstanceList;
+import hyssopturn.port.LogService;
+import hyssopturn.port.ServiceClient;
+import hyssopturn.port.WeightStore;
+
+import java.util.random.RandomGenerator;
+
+/**
+ * Everything that a node needs from outside.
+ *
+ * @param log the platform's log
+ * @param instances the platform's instance list
+ * @param weights the platform's weight store
+ * @param engines calls engines
+ * @param services calls services
+ * @param clock time
+ * @param random source of random numbers
+ */
+public record Ports(
+        LogService log,
+        InstanceList instances,
+        WeightStore weights,
+        EngineClient engines,
+        ServiceClient services,
+        Clock clock,
+        RandomGenerator random) {}
