--- a/src/main/java/hyssopturn/Main.java
+++ b/src/main/java/hyssopturn/Main.java
@@ -1,5 +1,7 @@
 package hyssopturn;
 
+import hyssopturn.cli.Program;
+
 /** Entry point of the {@code hyssopturn} program. */
 public final class Main {
     private Main() {}
@@ -10,6 +12,6 @@
      * @param args command line
      */
     public static void main(String[] args) {
-        System.out.println("hyssopturn");
+        System.exit(Program.run(args));
     }
 }
--- /dev/null
+++ b/src/main/java/hyssopturn/cli/Daemon.java
@@ -0,0 +1,105 @@
+package hyssopturn.cli;
+
+import hyssopturn.front.FrontLimits;
+import hyssopturn.front.HttpFront;
+import hyssopturn.model.Address;
+import hyssopturn.model.InstanceId;
+import hyssopturn.node.Node;
+import hyssopturn.node.NodeSettings;
+import hyssopturn.node.Ports;
+import hyssopturn.node.SystemClock;
+import hyssopturn.port.Instance;
+import hyssopturn.wire.HttpCaller;
+import hyssopturn.wire.HttpEngines;
+import hyssopturn.wire.HttpPlatform;
+import hyssopturn.wire.HttpServices;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.SplittableRandom;
+
+/** A node with its adapters and servers, running in this process. */
+final class Daemon implements AutoCloseable {
+    private static final int TIMER_THREADS = 2;
+
+    private final SystemClock clock = new SystemClock(TIMER_THREADS);
+    private final HttpCaller caller;
+    private final Node node;
+    private final HttpServer server;
+
+    /** Network settings of a node. */
+    record Network(
+            String id,
+            String host,
+            int port,
+            int peerPort,
+            Address platform,
+            Duration connectTimeout,
+            Duration logTimeout,
+            Duration engineTimeout,
+            Duration serviceTimeout,
+            FrontLimits limits) {}
+
+    Daemon(Vertx vertx, Network network, NodeSettings settings) {
+        caller = new HttpCaller(vertx, network.connectTimeout(), network.engineTimeout());
+        PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        HttpPlatform platform = new HttpPlatform(caller, network.platform(), network.logTimeout());
+        Ports ports =
+                new Ports(
+                        platform,
+                        platform,
+                        platform,
+                        new HttpEngines(caller),
+                        new HttpServices(caller, network.serviceTimeout()),
+                        clock,
+                        new SplittableRandom());
+        int port = network.port() == 0 ? freePort(network.host()) : network.port();
+        int peerPort = network.peerPort() == 0 ? freePort(network.host()) : network.peerPort();
+        Instance self =
+                new Instance(
+                        new InstanceId(network.id()),
+                        clock.wallMillis(),
+                        new Instance.Role.Node(new Address(network.host(), peerPort)),
+                        new Address(network.host(), port),
+                        settings.zone(),
+                        false);
+        node = new Node(self, settings, ports, meters);
+        server =
+                new HttpFront(node, meters, network.limits())
+                        .listen(vertx, network.host(), port)
+                        .await();
+        node.start();
+    }
+
+    private static int freePort(String host) {
+        try (ServerSocket socket = new ServerSocket()) {
+            socket.bind(new java.net.InetSocketAddress(host, 0));
+            return socket.getLocalPort();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    Node node() {
+        return node;
+    }
+
+    Address address() {
+        return node.self().address();
+    }
+
+    @Override
+    public void close() {
+        node.stop();
+        server.close();
+        caller.close();
+        clock.close();
+    }
+}
--- a/src/main/java/hyssopturn/ledger/LogLedger.java
+++ b/src/main/java/hyssopturn/ledger/LogLedger.java
@@ -8,6 +8,7 @@
 import hyssopturn.port.Clock;
 import hyssopturn.port.LogPage;
 import hyssopturn.port.LogService;
+import hyssopturn.port.RefusedException;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -29,6 +30,7 @@
     private final LogFollower follower;
     private final Map<CallKey, State> calls = new HashMap<>();
     private final Map<String, Waiter> waiters = new HashMap<>();
+    private final Map<CallKey, List<CompletableFuture<Ruling>>> repeats = new HashMap<>();
     private boolean whole;
 
     private record State(String claim, int bodyHash, Optional<LedgerRecord.Settled> settled) {}
@@ -76,7 +78,7 @@
             }
             State state = calls.get(key);
             if (state != null) {
-                return CompletableFuture.completedFuture(ruling(state, body.hashCode()));
+                return repeat(key, state, body.hashCode(), limit);
             }
             waiters.put(claim, new Waiter(key, body.hashCode(), ruling));
         }
@@ -87,8 +89,20 @@
         return ruling;
     }
 
+    private CompletableFuture<Ruling> repeat(
+            CallKey key, State state, int bodyHash, Duration limit) {
+        CompletableFuture<Ruling> ruling = new CompletableFuture<>();
+        if (state.bodyHash() != bodyHash || state.settled().isPresent()) {
+            ruling.complete(ruling(state, bodyHash));
+            return ruling;
+        }
+        repeats.computeIfAbsent(key, k -> new ArrayList<>()).add(ruling);
+        clock.after(limit, () -> ruling.complete(new Ruling.InDoubt()));
+        return ruling;
+    }
+
     private void appended(String claim, Throwable error) {
-        if (error instanceof hyssopturn.port.RefusedException) {
+        if (error instanceof RefusedException) {
             Waiter waiter;
             synchronized (this) {
                 waiter = waiters.remove(claim);
@@ -157,16 +171,33 @@
                     calls.put(
                             settled.key(),
                             new State(state.claim(), state.bodyHash(), Optional.of(settled)));
+                    Ruling ruling = new Ruling.Recorded(settled.outcome(), settled.body());
+                    rulings.add(() -> answerRepeats(settled.key(), ruling));
                 }
             }
             case LedgerRecord.Released released -> {
                 if (state != null && state.claim().equals(released.claim())) {
                     calls.remove(released.key());
+                    Ruling ruling =
+                            new Ruling.Unavailable(
+                                    Reason.NO_ENDPOINT,
+                                    "an earlier call with this key did not run");
+                    rulings.add(() -> answerRepeats(released.key(), ruling));
                 }
             }
         }
     }
 
+    private void answerRepeats(CallKey key, Ruling ruling) {
+        List<CompletableFuture<Ruling>> waiting;
+        synchronized (this) {
+            waiting = repeats.remove(key);
+        }
+        if (waiting != null) {
+            waiting.forEach(w -> w.complete(ruling));
+        }
+    }
+
     private static Ruling ruling(State state, int bodyHash) {
         if (state.bodyHash() != bodyHash) {
             return new Ruling.Conflict();
--- a/src/main/java/hyssopturn/run/Answers.java
+++ b/src/main/java/hyssopturn/run/Answers.java
@@ -4,6 +4,7 @@
 import com.github.benmanes.caffeine.cache.Caffeine;
 
 import hyssopturn.model.AnswerEvent;
+import hyssopturn.model.Reason;
 import hyssopturn.model.RequestId;
 import hyssopturn.port.Clock;
 
@@ -99,13 +100,14 @@
         }
 
         synchronized void fail(Throwable error) {
-            add(AnswerEvent.End.failed(hyssopturn.model.Reason.INTERNAL, String.valueOf(error)));
+            add(AnswerEvent.End.failed(Reason.INTERNAL, String.valueOf(error)));
             complete();
         }
 
         synchronized void complete() {
             complete = true;
-            readers.forEach(MultiEmitter::complete);
+            // completing a reader detaches it
+            List.copyOf(readers).forEach(MultiEmitter::complete);
             readers.clear();
         }
 
--- /dev/null
+++ b/src/test/java/hyssopturn/ArchitectureTest.java
@@ -0,0 +1,83 @@
+package hyssopturn;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noMethods;
+
+import com.tngtech.archunit.core.importer.ImportOption.DoNotIncludeTests;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+@AnalyzeClasses(packages = "hyssopturn", importOptions = DoNotIncludeTests.class)
+class ArchitectureTest {
+    private static final String[] DECISIONS = {
+        "hyssopturn.admit..",
+        "hyssopturn.route..",
+        "hyssopturn.ledger..",
+        "hyssopturn.config..",
+        "hyssopturn.member..",
+        "hyssopturn.place..",
+        "hyssopturn.log..",
+        "hyssopturn.run..",
+        "hyssopturn.event.."
+    };
+
+    @ArchTest
+    static final ArchRule decisionsKnowNoNetwork =
+            noClasses()
+                    .that()
+                    .resideInAnyPackage(DECISIONS)
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAnyPackage("io.vertx..", "io.netty..", "java.net..");
+
+    @ArchTest
+    static final ArchRule decisionsKnowNoAssembly =
+            noClasses()
+                    .that()
+                    .resideInAnyPackage(DECISIONS)
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAnyPackage(
+                            "hyssopturn.node..",
+                            "hyssopturn.cli..",
+                            "hyssopturn.front..",
+                            "hyssopturn.wire..",
+                            "hyssopturn.peer..",
+                            "hyssopturn.standin..",
+                            "hyssopturn.bench..");
+
+    @ArchTest
+    static final ArchRule portsAndModelStandAlone =
+            noClasses()
+                    .that()
+                    .resideInAnyPackage("hyssopturn.port..", "hyssopturn.model..")
+                    .should()
+                    .dependOnClassesThat()
+                    .resideOutsideOfPackages(
+                            "hyssopturn.port..",
+                            "hyssopturn.model..",
+                            "hyssopturn.helper..",
+                            "java..");
+
+    @ArchTest
+    static final ArchRule decisionsReadNoClock =
+            noClasses()
+                    .that()
+                    .resideInAnyPackage(DECISIONS)
+                    .should()
+                    .callMethod(System.class, "nanoTime")
+                    .orShould()
+                    .callMethod(System.class, "currentTimeMillis");
+
+    @ArchTest
+    static final ArchRule accessorsHaveNoPrefix =
+            noMethods()
+                    .that()
+                    .arePublic()
+                    .and()
+                    .areDeclaredInClassesThat()
+                    .resideOutsideOfPackage("..generated..")
+                    .should()
+                    .haveNameMatching("get[A-Z].*");
+}
