Take requests' evidence on endpoints

Requests see a refused, draining or silent endpoint long before the instance list does. Directory takes suspect, leaving and alive by incarnation, and the view drops the endpoint at once. Thin: nothing is told to other nodes yet.

--- a/src/main/java/hyssopturn/member/Directory.java
+++ b/src/main/java/hyssopturn/member/Directory.java
@@ -23,6 +23,8 @@
 public final class Directory {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+    private static final Duration SUSPICION = Duration.ofSeconds(2);
+
     private final InstanceList list;
     private final EngineClient engines;
     private final Clock clock;
@@ -30,6 +32,8 @@
     private final Duration interval;
     private final Map<InstanceId, Instance> instances = new ConcurrentHashMap<>();
     private final Map<InstanceId, EngineReport> reports = new ConcurrentHashMap<>();
+    private final Map<InstanceId, Long> suspected = new ConcurrentHashMap<>();
+    private final Map<InstanceId, Long> left = new ConcurrentHashMap<>();
     private volatile View view = View.EMPTY;
     private volatile boolean stopped;
 
@@ -74,6 +78,62 @@
         return view;
     }
 
+    /**
+     * Notes that an endpoint failed or fell silent; it gets no new work until it shows life.
+     *
+     * @param id the endpoint
+     * @param incarnation its incarnation; evidence on another one is ignored
+     */
+    public void suspect(InstanceId id, long incarnation) {
+        if (isCurrent(id, incarnation) && suspected.put(id, incarnation) == null) {
+            changed(id, "suspect");
+            clock.after(SUSPICION, () -> alive(id, incarnation));
+        }
+    }
+
+    /**
+     * Notes that an endpoint takes no new work, which is final for its incarnation.
+     *
+     * @param id the endpoint
+     * @param incarnation its incarnation; evidence on another one is ignored
+     */
+    public void leaving(InstanceId id, long incarnation) {
+        if (isCurrent(id, incarnation) && !Long.valueOf(incarnation).equals(left.get(id))) {
+            left.put(id, incarnation);
+            changed(id, "leaving");
+        }
+    }
+
+    /**
+     * Notes that an endpoint answered, which ends a suspicion but not its leaving.
+     *
+     * @param id the endpoint
+     * @param incarnation its incarnation; evidence on another one is ignored
+     */
+    public void alive(InstanceId id, long incarnation) {
+        if (suspected.remove(id, incarnation)) {
+            changed(id, "live");
+        }
+    }
+
+    private boolean isCurrent(InstanceId id, long incarnation) {
+        Instance known = instances.get(id);
+        return known != null && known.incarnation() == incarnation;
+    }
+
+    private void changed(InstanceId id, String state) {
+        logger.atInfo().log("instance=%s state=%s", id, state);
+        events.record(new Detail.InstanceChanged(id, state));
+        rebuild();
+    }
+
+    private boolean usable(Instance instance) {
+        Long incarnation = instance.incarnation();
+        return !instance.leaving()
+                && !incarnation.equals(left.get(instance.id()))
+                && !incarnation.equals(suspected.get(instance.id()));
+    }
+
     private void poll() {
         if (stopped) {
             return;
@@ -98,6 +158,8 @@
     private void gone(InstanceId id) {
         instances.remove(id);
         reports.remove(id);
+        suspected.remove(id);
+        left.remove(id);
         logger.atInfo().log("instance=%s state=gone", id);
         events.record(new Detail.InstanceChanged(id, "gone"));
     }
@@ -131,12 +193,12 @@
                 new View(
                         all.stream().filter(i -> i.role() instanceof Instance.Role.Node).toList(),
                         all.stream()
-                                .filter(i -> !i.leaving() && reports.containsKey(i.id()))
+                                .filter(i -> usable(i) && reports.containsKey(i.id()))
                                 .map(i -> new EngineView(i, reports.get(i.id())))
                                 .filter(e -> !e.report().draining())
                                 .toList(),
                         all.stream()
-                                .filter(i -> !i.leaving())
+                                .filter(this::usable)
                                 .filter(i -> i.role() instanceof Instance.Role.Service)
                                 .toList());
     }
