Time line, status, attainment and the first docs

Cause: nobody could see what nodes did or whether targets were met. Change: hybrid logical clock stamps, merge and filters, text, JSON and HTML; status of all nodes; count of requests within target by class; operators' endpoints need a signed token.

--- a/src/main/java/hyssopturn/cli/Daemon.java
+++ b/src/main/java/hyssopturn/cli/Daemon.java
@@ -1,5 +1,6 @@
 package hyssopturn.cli;
 
+import hyssopturn.filter.Credentials;
 import hyssopturn.front.FrontLimits;
 import hyssopturn.front.HttpFront;
 import hyssopturn.model.Address;
@@ -45,7 +46,8 @@
             Duration logTimeout,
             Duration engineTimeout,
             Duration serviceTimeout,
-            FrontLimits limits) {}
+            FrontLimits limits,
+            String operatorSecret) {}
 
     Daemon(Vertx vertx, Network network, NodeSettings settings) {
         caller = new HttpCaller(vertx, network.connectTimeout(), network.engineTimeout());
@@ -72,7 +74,11 @@
                         false);
         node = new Node(self, settings, ports, meters);
         server =
-                new HttpFront(node, meters, network.limits())
+                new HttpFront(
+                                node,
+                                meters,
+                                network.limits(),
+                                new Credentials(network.operatorSecret()))
                         .listen(vertx, network.host(), port)
                         .await();
         node.start();
--- a/src/main/java/hyssopturn/cli/NodeCommand.java
+++ b/src/main/java/hyssopturn/cli/NodeCommand.java
@@ -70,7 +70,8 @@
                         settings.get(Options.BODY_LIMIT),
                         Math.toIntExact(settings.get(Options.HEADER_LIMIT)),
                         settings.get(Options.CONNECTIONS),
-                        settings.get(Options.IDLE_TIMEOUT)));
+                        settings.get(Options.IDLE_TIMEOUT)),
+                settings.get(Options.OPERATOR_SECRET));
     }
 
     static NodeSettings nodeSettings(Settings settings) {
--- a/src/main/java/hyssopturn/cli/Options.java
+++ b/src/main/java/hyssopturn/cli/Options.java
@@ -54,6 +54,12 @@
                     new Kind.Name(),
                     "trial-peers",
                     "Secret of the links between nodes");
+    static final Setting<String> OPERATOR_SECRET =
+            new Setting<>(
+                    "operator-secret",
+                    new Kind.Name(),
+                    "trial-operators",
+                    "Secret of the operators' bearer tokens");
     static final Setting<Duration> POLL_INTERVAL =
             new Setting<>(
                     "poll-interval",
@@ -140,6 +146,7 @@
                     PLATFORM,
                     ACCOUNT_SECRET,
                     PEER_SECRET,
+                    OPERATOR_SECRET,
                     POLL_INTERVAL,
                     CONNECT_TIMEOUT,
                     LOG_TIMEOUT,
--- a/src/main/java/hyssopturn/cli/Program.java
+++ b/src/main/java/hyssopturn/cli/Program.java
@@ -1,6 +1,7 @@
 package hyssopturn.cli;
 
 import hyssopturn.config.ConfigInvalidException;
+import hyssopturn.helper.InvalidArgumentException;
 
 import picocli.AutoComplete.GenerateCompletion;
 import picocli.CommandLine;
@@ -38,6 +39,8 @@
                 new CommandLine(new Program())
                         .addSubcommand(new NodeCommand())
                         .addSubcommand(new TryCommand())
+                        .addSubcommand(new StatusCommand())
+                        .addSubcommand(new TimelineCommand())
                         .addSubcommand(new TokenCommand())
                         .addSubcommand("config", ConfigCommand.create())
                         .addSubcommand("standin", StandinCommand.create())
@@ -50,6 +53,7 @@
         PrintWriter err = command.getErr();
         switch (error) {
             case SettingsException wrong -> wrong.problems().forEach(err::println);
+            case InvalidArgumentException wrong -> err.println(wrong.getMessage());
             case ConfigInvalidException wrong -> wrong.problems().forEach(err::println);
             default -> {
                 err.println(error);
--- a/src/main/java/hyssopturn/cli/TryCommand.java
+++ b/src/main/java/hyssopturn/cli/TryCommand.java
@@ -121,7 +121,8 @@
                             TIMEOUT,
                             TIMEOUT,
                             TIMEOUT,
-                            FrontLimits.SMALL);
+                            FrontLimits.SMALL,
+                            Options.OPERATOR_SECRET.fallback());
             nodes.add(new Daemon(vertx, network, NodeSettings.trial(ZONES.get(i))));
         }
         return nodes;
--- a/src/main/java/hyssopturn/event/Detail.java
+++ b/src/main/java/hyssopturn/event/Detail.java
@@ -8,6 +8,24 @@
 
 /** What happened. */
 public sealed interface Detail {
+    /**
+     * Names the kind of event.
+     *
+     * @return lower-case name
+     */
+    default String what() {
+        return switch (this) {
+            case Arrived d -> "arrived";
+            case Ended d -> "ended";
+            case AttemptBegan d -> "attempt";
+            case EndpointFailed d -> "endpoint-failed";
+            case Claim d -> "claim";
+            case ConfigInForce d -> "config";
+            case InstanceChanged d -> "instance";
+            case NodeState d -> "node";
+        };
+    }
+
     /**
      * A request came in.
      *
--- a/src/main/java/hyssopturn/front/HttpFront.java
+++ b/src/main/java/hyssopturn/front/HttpFront.java
@@ -1,5 +1,7 @@
 package hyssopturn.front;
 
+import hyssopturn.event.EventJson;
+import hyssopturn.filter.Credentials;
 import hyssopturn.filter.Exchange;
 import hyssopturn.model.AnswerEvent;
 import hyssopturn.model.Bytes;
@@ -16,7 +18,6 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.json.DecodeException;
-import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
@@ -24,7 +25,6 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 
 /** HTTP server of a node: what callers send, health, metrics and events. */
 public final class HttpFront {
@@ -36,6 +36,7 @@
     private final Node node;
     private final PrometheusMeterRegistry meters;
     private final FrontLimits limits;
+    private final Credentials operators;
 
     /**
      * Creates the front of a node.
@@ -43,11 +44,14 @@
      * @param node the node
      * @param meters counters to show
      * @param limits bounds on what callers may send
+     * @param operators checks bearer tokens of operators
      */
-    public HttpFront(Node node, PrometheusMeterRegistry meters, FrontLimits limits) {
+    public HttpFront(
+            Node node, PrometheusMeterRegistry meters, FrontLimits limits, Credentials operators) {
         this.node = node;
         this.meters = meters;
         this.limits = limits;
+        this.operators = operators;
     }
 
     /**
@@ -184,28 +188,21 @@
     }
 
     private void events(RoutingContext x) {
-        JsonArray all = new JsonArray();
-        node.events().events().forEach(e -> all.add(EventForm.json(e)));
-        x.json(new JsonObject().put("node", node.self().id().value()).put("events", all));
+        if (operators.account(bearer(x).orElse("")).isEmpty()) {
+            Reply.problem(x, Statuses.UNAUTHORIZED, Reason.UNAUTHENTICATED, "operators only");
+            return;
+        }
+        x.response()
+                .putHeader("Content-Type", "application/json")
+                .end(EventJson.write(node.self().id(), node.events().events()));
     }
 
     private void status(RoutingContext x) {
-        x.json(
-                new JsonObject()
-                        .put("node", node.self().id().value())
-                        .put("config", node.config().version())
-                        .put("running", node.running())
-                        .put("ready", node.ready())
-                        .put(
-                                "engines",
-                                node.view().engines().stream()
-                                        .map(e -> e.instance().id().value())
-                                        .collect(Collectors.toList()))
-                        .put(
-                                "services",
-                                node.view().services().stream()
-                                        .map(e -> e.id().value())
-                                        .collect(Collectors.toList())));
+        JsonObject status = StatusForm.json(node);
+        if (operators.account(bearer(x).orElse("")).isPresent()) {
+            StatusForm.addForOperators(node, status);
+        }
+        x.json(status);
     }
 
     private void ready(RoutingContext x) {
--- /dev/null
+++ b/src/main/java/hyssopturn/metric/package-info.java
@@ -0,0 +1,2 @@
+/** Counting of what the targets ask for. */
+package hyssopturn.metric;
--- a/src/main/java/hyssopturn/node/Node.java
+++ b/src/main/java/hyssopturn/node/Node.java
@@ -9,6 +9,7 @@
 import hyssopturn.event.HybridClock;
 import hyssopturn.filter.AccountFilter;
 import hyssopturn.filter.AdmitFilter;
+import hyssopturn.filter.AttainmentFilter;
 import hyssopturn.filter.ClassFilter;
 import hyssopturn.filter.Credentials;
 import hyssopturn.filter.DrainFilter;
@@ -20,6 +21,7 @@
 import hyssopturn.ledger.LogLedger;
 import hyssopturn.member.Directory;
 import hyssopturn.member.View;
+import hyssopturn.metric.Attainment;
 import hyssopturn.model.AnswerEvent;
 import hyssopturn.model.Config;
 import hyssopturn.model.RequestId;
@@ -49,6 +51,7 @@
     private final Directory directory;
     private final LogLedger ledger;
     private final Answers answers;
+    private final Attainment attainment;
     private final DrainFilter drain = new DrainFilter();
     private final FilterChain filters;
     private Instance self;
@@ -77,6 +80,7 @@
                         settings.pollInterval());
         ledger = new LogLedger(ports.log(), ports.clock(), this::uniqueName);
         answers = new Answers(ports.clock(), settings.answerKeep(), settings.answerBytes());
+        attainment = new Attainment(meters);
         filters = filters(settings);
     }
 
@@ -87,6 +91,7 @@
                         drain,
                         new AccountFilter(new Credentials(settings.accountSecret())),
                         new ClassFilter(events),
+                        new AttainmentFilter(attainment, ports.clock()),
                         new LedgerFilter(ledger, events),
                         new AdmitFilter(new OpenAdmission(), ports.clock()),
                         new RunFilter(
@@ -229,6 +234,15 @@
         return events;
     }
 
+    /**
+     * Returns how many requests met their target.
+     *
+     * @return counts by class
+     */
+    public Attainment attainment() {
+        return attainment;
+    }
+
     /**
      * Counts requests in progress.
      *
