--- a/src/main/java/hyssopturn/log/package-info.java
+++ b/src/main/java/hyssopturn/log/package-info.java
@@ -1,2 +1,2 @@
-/** Following and appending to streams of the platform's log. */
+/** Reading of the platform's log: a follower of one stream and the delays of its retries. */
 package hyssopturn.log;
--- a/src/main/java/hyssopturn/standin/MemoryLog.java
+++ b/src/main/java/hyssopturn/standin/MemoryLog.java
@@ -20,7 +20,10 @@
     private final Map<String, Stream> streams = new HashMap<>();
     private boolean down;
     private int answersToLose;
+    private int readsToLose;
     private Duration latency = Duration.ZERO;
+    private long serviceNanos;
+    private long busyUntil;
     private long appends;
 
     /**
@@ -42,10 +45,24 @@
     @Override
     public CompletableFuture<Long> append(String stream, Bytes data) {
         CompletableFuture<Long> answer = new CompletableFuture<>();
-        later(() -> appendNow(stream, data, answer));
+        later(() -> queue(() -> appendNow(stream, data, answer)));
         return answer;
     }
 
+    private void queue(Runnable task) {
+        long wait;
+        synchronized (this) {
+            long now = clock.nanos();
+            busyUntil = Math.max(busyUntil, now) + serviceNanos;
+            wait = busyUntil - now;
+        }
+        if (wait == 0) {
+            task.run();
+        } else {
+            clock.after(Duration.ofNanos(wait), task);
+        }
+    }
+
     private void appendNow(String stream, Bytes data, CompletableFuture<Long> answer) {
         List<Runnable> wake = new ArrayList<>();
         long offset;
@@ -91,6 +108,12 @@
     @Override
     public CompletableFuture<LogPage> read(String stream, long from, int max, Duration wait) {
         CompletableFuture<LogPage> answer = new CompletableFuture<>();
+        synchronized (this) {
+            if (readsToLose > 0) {
+                readsToLose--;
+                return answer;
+            }
+        }
         later(() -> readNow(stream, from, max, wait, answer));
         return answer;
     }
@@ -115,7 +138,7 @@
             answer.completeExceptionally(
                     new RefusedException(RefusedException.Reason.UNREACHABLE, "log is down"));
         } else {
-            answer.complete(page);
+            later(() -> answer.complete(page));
         }
     }
 
@@ -146,6 +169,24 @@
         answersToLose = count;
     }
 
+    /**
+     * Leaves the next reads without any answer.
+     *
+     * @param count how many reads
+     */
+    public synchronized void loseReads(int count) {
+        readsToLose = count;
+    }
+
+    /**
+     * Bounds the rate of appends; what comes faster waits in line.
+     *
+     * @param perSecond appends a second, 0 for no bound
+     */
+    public synchronized void appendRate(int perSecond) {
+        serviceNanos = perSecond == 0 ? 0 : Duration.ofSeconds(1).toNanos() / perSecond;
+    }
+
     /**
      * Delays every call and every answer.
      *
