--- a/src/main/java/hyssopturn/cli/ConfigCommand.java
+++ b/src/main/java/hyssopturn/cli/ConfigCommand.java
@@ -1,13 +1,12 @@
 package hyssopturn.cli;
 
-import hyssopturn.config.ConfigController;
 import hyssopturn.config.ConfigDocument;
-import hyssopturn.config.ConfigFold;
+import hyssopturn.config.ConfigHistory;
 import hyssopturn.config.ConfigInvalidException;
-import hyssopturn.config.ConfigRecord;
-import hyssopturn.model.Config;
-import hyssopturn.port.LogPage;
-import hyssopturn.port.LogService;
+import hyssopturn.config.FoldState;
+import hyssopturn.config.Seal;
+import hyssopturn.config.Verdict;
+import hyssopturn.port.PortException;
 import hyssopturn.wire.HttpCaller;
 import hyssopturn.wire.HttpPlatform;
 
@@ -25,8 +24,8 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
-import java.util.UUID;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletionException;
 
 /** Checks, publishes and shows configurations. */
 @Command(
@@ -34,9 +33,12 @@
         mixinStandardHelpOptions = true,
         description = "Checks, publishes and shows configurations.")
 final class ConfigCommand {
-    private static final List<Setting<?>> SETTINGS =
-            List.of(Options.PLATFORM, Options.CONNECT_TIMEOUT, Options.LOG_TIMEOUT);
-    private static final int PAGE = 1_000;
+    static final List<Setting<?>> SETTINGS =
+            List.of(
+                    Options.PLATFORM,
+                    Options.CONNECT_TIMEOUT,
+                    Options.LOG_TIMEOUT,
+                    Options.PEER_SECRET);
 
     private ConfigCommand() {}
 
@@ -44,7 +46,9 @@
     static CommandLine create() {
         return new CommandLine(new ConfigCommand())
                 .addSubcommand(new Check())
-                .addSubcommand(new Publish());
+                .addSubcommand(new PublishCommand())
+                .addSubcommand(new Show())
+                .addSubcommand(new History());
     }
 
     @Command(
@@ -71,14 +75,8 @@
         }
     }
 
-    @Command(
-            name = "publish",
-            mixinStandardHelpOptions = true,
-            description = "Publishes a document over the one in force.")
-    static final class Publish implements Callable<Integer> {
-        @Parameters(paramLabel = "FILE", description = "the document")
-        private Path file;
-
+    /** Reads the whole stream and hands it on. */
+    abstract static class Reading implements Callable<Integer> {
         private CommandSpec spec;
 
         @Spec
@@ -88,48 +86,85 @@
         }
 
         @Override
-        public Integer call() throws IOException {
+        public Integer call() {
             Settings settings = Settings.read(spec, SETTINGS);
-            String text = Files.readString(file);
-            ConfigDocument.parse(text, 0);
-            Vertx vertx = Vertx.vertx();
             Duration timeout = settings.get(Options.LOG_TIMEOUT);
+            Seal seal = new Seal(settings.get(Options.PEER_SECRET));
+            Vertx vertx = Vertx.vertx();
             try (HttpCaller caller =
                     new HttpCaller(vertx, settings.get(Options.CONNECT_TIMEOUT), timeout)) {
-                LogService log = new HttpPlatform(caller, settings.get(Options.PLATFORM), timeout);
-                return publish(log, text);
+                HttpPlatform platform =
+                        new HttpPlatform(caller, settings.get(Options.PLATFORM), timeout);
+                ConfigHistory history = new ConfigHistory(platform, seal);
+                history.readToEnd().join();
+                return print(history, spec.commandLine().getOut());
+            } catch (CompletionException e) {
+                if (e.getCause() instanceof PortException down) {
+                    spec.commandLine().getErr().println("the log cannot be read: " + down);
+                    return ExitCodes.FAILED;
+                }
+                throw e;
             } finally {
                 vertx.close().await();
             }
         }
 
-        private int publish(LogService log, String text) {
-            PrintWriter out = spec.commandLine().getOut();
-            Config base = current(log);
-            String publication = UUID.randomUUID().toString();
-            ConfigRecord record = new ConfigRecord(publication, base.version(), text);
-            long offset = log.append(ConfigController.STREAM, record.encode()).join();
-            Config after = current(log);
-            if (after.version() == offset) {
-                out.println("accepted as version " + offset);
-                return ExitCodes.OK;
+        abstract int print(ConfigHistory history, PrintWriter out);
+    }
+
+    @Command(
+            name = "show",
+            mixinStandardHelpOptions = true,
+            description = "Prints the document in force, after a comment with its version.")
+    static final class Show extends Reading {
+        @Override
+        int print(ConfigHistory history, PrintWriter out) {
+            FoldState state = history.state();
+            if (!state.settled()) {
+                out.println("# the log has lost the version in force; ask a node: GET /v1/status");
+            }
+            if (state.accepted().isEmpty()) {
+                out.println("# no version is known");
+                return ExitCodes.FAILED;
             }
-            out.println("rejected: version " + after.version() + " came first");
-            return ExitCodes.FAILED;
+            out.println("# version " + state.version());
+            out.println(state.accepted().get().document());
+            return state.settled() ? ExitCodes.OK : ExitCodes.UNKNOWN;
         }
+    }
 
-        private static Config current(LogService log) {
-            Config config = Config.EMPTY;
-            long next = 1;
-            LogPage page;
-            do {
-                page = log.read(ConfigController.STREAM, next, PAGE, Duration.ZERO).join();
-                for (LogPage.Entry entry : page.records()) {
-                    config = ConfigFold.apply(config, entry);
-                }
-                next = page.next();
-            } while (page.next() < page.end());
-            return config;
+    @Command(
+            name = "history",
+            mixinStandardHelpOptions = true,
+            description = "Lists the records that the log still keeps, and what became of each.")
+    static final class History extends Reading {
+        @Override
+        int print(ConfigHistory history, PrintWriter out) {
+            for (ConfigHistory.Line line : history.lines()) {
+                out.println(
+                        "%d %s publication=%s base=%d%s"
+                                .formatted(
+                                        line.offset(),
+                                        line.verdict().label(),
+                                        line.publication().isEmpty() ? "-" : line.publication(),
+                                        line.base(),
+                                        detail(line.verdict())));
+            }
+            return ExitCodes.OK;
         }
     }
+
+    /** Tells people more about a verdict. */
+    static String detail(Verdict verdict) {
+        return switch (verdict) {
+            case Verdict.Superseded lost ->
+                    " winner=%s version=%d".formatted(lost.winner(), lost.version());
+            case Verdict.Invalid wrong -> " problems=" + wrong.problems();
+            case Verdict.Skipped skipped -> " cause=" + skipped.cause();
+            case Verdict.Restated restated -> " version=" + restated.version();
+            case Verdict.Repeated repeated -> " version=" + repeated.version();
+            case Verdict.Accepted accepted -> "";
+            case Verdict.Undetermined undetermined -> "";
+        };
+    }
 }
--- a/src/main/java/hyssopturn/cli/Kind.java
+++ b/src/main/java/hyssopturn/cli/Kind.java
@@ -1,5 +1,6 @@
 package hyssopturn.cli;
 
+import hyssopturn.config.ConfigRecord;
 import hyssopturn.helper.InvalidArgumentException;
 import hyssopturn.helper.Units;
 import hyssopturn.model.Address;
@@ -7,6 +8,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /** Kind of a setting: how its text is read and what is allowed. */
 sealed interface Kind<T> {
@@ -90,6 +92,32 @@
         }
     }
 
+    record BaseVersion() implements Kind<OptionalLong> {
+        @Override
+        public Optional<OptionalLong> read(String text) {
+            return switch (text.strip()) {
+                case "current" -> Optional.of(OptionalLong.empty());
+                case "any" -> Optional.of(OptionalLong.of(ConfigRecord.ANY_BASE));
+                default -> number(text.strip());
+            };
+        }
+
+        private static Optional<OptionalLong> number(String text) {
+            try {
+                long value = Long.parseLong(text);
+                return value >= 0 ? Optional.of(OptionalLong.of(value)) : Optional.empty();
+            } catch (NumberFormatException e) {
+                return Optional.empty();
+            }
+        }
+
+        @Override
+        public String allowed() {
+            return "a version, or 'current' for the one in force, or 'any' to publish over every"
+                    + " other";
+        }
+    }
+
     record Place() implements Kind<Zone> {
         @Override
         public Optional<Zone> read(String text) {
--- a/src/main/java/hyssopturn/cli/NodeCommand.java
+++ b/src/main/java/hyssopturn/cli/NodeCommand.java
@@ -80,6 +80,7 @@
                 settings.get(Options.ACCOUNT_SECRET),
                 settings.get(Options.PEER_SECRET),
                 settings.get(Options.POLL_INTERVAL),
+                settings.get(Options.LOG_RETENTION),
                 settings.get(Options.ANSWER_KEEP),
                 settings.get(Options.ANSWER_BYTES),
                 settings.get(Options.EVENT_CAPACITY));
--- a/src/main/java/hyssopturn/cli/Options.java
+++ b/src/main/java/hyssopturn/cli/Options.java
@@ -66,6 +66,12 @@
                     new Kind.Span(TEN_MILLIS, MINUTE),
                     "500ms",
                     "Time between two readings of the instance list");
+    static final Setting<Duration> LOG_RETENTION =
+            new Setting<>(
+                    "log-retention",
+                    new Kind.Span(Duration.ofSeconds(1), DAY.multipliedBy(366)),
+                    "1h",
+                    "Least time that the platform's log keeps a record");
     static final Setting<Duration> CONNECT_TIMEOUT =
             new Setting<>(
                     "connect-timeout",
@@ -148,6 +154,7 @@
                     PEER_SECRET,
                     OPERATOR_SECRET,
                     POLL_INTERVAL,
+                    LOG_RETENTION,
                     CONNECT_TIMEOUT,
                     LOG_TIMEOUT,
                     ENGINE_TIMEOUT,
--- a/src/main/java/hyssopturn/cli/TryCommand.java
+++ b/src/main/java/hyssopturn/cli/TryCommand.java
@@ -130,7 +130,7 @@
 
     private static void publish(Vertx vertx, Address platform) {
         try (HttpCaller caller = new HttpCaller(vertx, TIMEOUT, TIMEOUT)) {
-            ConfigRecord record = new ConfigRecord("try", 0, sampleDocument());
+            ConfigRecord record = new ConfigRecord.Publication("try", 0, sampleDocument());
             new HttpPlatform(caller, platform, TIMEOUT)
                     .append(ConfigController.STREAM, record.encode())
                     .join();
--- a/src/main/java/hyssopturn/config/ConfigDocument.java
+++ b/src/main/java/hyssopturn/config/ConfigDocument.java
@@ -1,8 +1,11 @@
 package hyssopturn.config;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import com.networknt.schema.Error;
+import com.networknt.schema.InputFormat;
+import com.networknt.schema.Schema;
+import com.networknt.schema.SchemaRegistry;
+import com.networknt.schema.SpecificationVersion;
 
 import hyssopturn.helper.Units;
 import hyssopturn.model.AccountId;
@@ -14,22 +17,42 @@
 import hyssopturn.model.Work;
 import hyssopturn.model.WorkClass;
 
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
-/** Reads configuration documents. */
+/** Reads and checks configuration documents of format 1. */
 public final class ConfigDocument {
-    private static final int FORMAT = 1;
-    private static final YAMLMapper YAML = new YAMLMapper();
+    /** Greatest size of a document, in characters. */
+    public static final int MAX_CHARS = 256 << 10;
+
+    private static final String SCHEMA_RESOURCE = "/hyssopturn/config.schema.json";
+    private static final Schema SCHEMA = schema();
+    private static final double WHOLE_SHARE = 1;
 
     private final List<Problem> problems = new ArrayList<>();
+    private final PositionedYaml yaml;
+
+    private ConfigDocument(PositionedYaml yaml) {
+        this.yaml = yaml;
+    }
 
-    private ConfigDocument() {}
+    private static Schema schema() {
+        try (InputStream in = ConfigDocument.class.getResourceAsStream(SCHEMA_RESOURCE)) {
+            return SchemaRegistry.withDefaultDialect(SpecificationVersion.DRAFT_2020_12)
+                    .getSchema(in, InputFormat.JSON);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
 
     /**
      * Reads and checks a document.
@@ -37,113 +60,107 @@
      * @param text the document, as YAML
      * @param version version that the configuration gets
      * @return the configuration
-     * @throws ConfigInvalidException with every problem found
+     * @throws ConfigInvalidException with every problem found, each with its line and field
      */
     public static Config parse(String text, long version) {
-        return new ConfigDocument().read(text, version);
+        if (text.length() > MAX_CHARS) {
+            throw new ConfigInvalidException(
+                    List.of(
+                            new Problem(
+                                    0,
+                                    "document",
+                                    "must have at most " + MAX_CHARS + " characters")));
+        }
+        return new ConfigDocument(PositionedYaml.read(text)).read(version);
     }
 
-    private Config read(String text, long version) {
-        JsonNode root = tree(text);
-        if (root.path("format").asInt() != FORMAT) {
-            problem("format", "must be " + FORMAT);
-        }
-        Map<String, ModelSpec> models = new HashMap<>();
-        root.path("models").properties().forEach(e -> model(e.getKey(), e.getValue(), models));
-        Map<ClassName, WorkClass> classes = new HashMap<>();
-        root.path("classes")
-                .properties()
-                .forEach(e -> workClass(e.getKey(), e.getValue(), models, classes));
-        Set<AccountId> revoked = new HashSet<>();
-        root.path("revoked").forEach(account -> revoked.add(new AccountId(account.asText())));
+    private Config read(long version) {
+        SCHEMA.validate(yaml.root()).forEach(this::schemaProblem);
+        yaml.root().path("classes").properties().forEach(e -> work(e.getKey(), e.getValue()));
         if (!problems.isEmpty()) {
+            problems.sort(Comparator.comparingInt(Problem::line));
             throw new ConfigInvalidException(problems);
         }
-        return new Config(version, models, classes, revoked);
+        return config(version);
     }
 
-    private static JsonNode tree(String text) {
-        try {
-            return YAML.readTree(text);
-        } catch (JsonProcessingException e) {
-            int line = e.getLocation() == null ? 0 : e.getLocation().getLineNr();
-            throw new ConfigInvalidException(
-                    List.of(new Problem(line, "document", e.getOriginalMessage())));
-        }
+    private void schemaProblem(Error error) {
+        String at = error.getInstanceLocation().toString();
+        String property = error.getProperty();
+        boolean unknown = "additionalProperties".equals(error.getKeyword());
+        problem(unknown && property != null ? at + "/" + property : at, error.getMessage());
     }
 
-    private void model(String name, JsonNode node, Map<String, ModelSpec> models) {
-        String at = "models." + name;
-        int layers = node.path("layers").asInt();
-        String version = node.path("version").asText();
-        long bytes = size(at + ".layer-bytes", node.path("layer-bytes"));
-        if (layers < 1) {
-            problem(at + ".layers", "must be a whole number from 1");
-        }
-        if (version.isBlank()) {
-            problem(at + ".version", "must be given");
-        }
-        if (layers > 0 && !version.isBlank()) {
-            models.put(name, new ModelSpec(new ModelId(name, version), layers, bytes));
-        }
-    }
-
-    private void workClass(
-            String name,
-            JsonNode node,
-            Map<String, ModelSpec> models,
-            Map<ClassName, WorkClass> classes) {
-        String at = "classes." + name;
-        double share = node.path("share").asDouble(1);
-        if (share <= 0 || share > 1) {
-            problem(at + ".share", "must be above 0 and at most 1");
+    private void work(String name, JsonNode node) {
+        String at = "/classes/" + name;
+        if (!node.isObject()) {
             return;
         }
-        Work work;
-        Target target;
-        if (node.has("model")) {
+        if (node.has("model") == node.has("service")) {
+            problem(at, "must name either a model or a service");
+        } else if (node.has("model")) {
+            foreign(at, node, List.of("answer", "repeatable"), "a service");
             String model = node.path("model").asText();
-            if (!models.containsKey(model)) {
-                problem(at + ".model", "no model " + model + " is declared");
+            if (!yaml.root().path("models").has(model)) {
+                problem(at + "/model", "no model " + model + " is declared");
             }
-            work = new Work.Generate(model);
-            target =
-                    new Target.Stream(
-                            span(at + ".first-token", node.path("first-token")),
-                            span(at + ".between-tokens", node.path("between-tokens")));
-        } else if (node.has("service")) {
-            work =
-                    new Work.Call(
-                            node.path("service").asText(),
-                            node.path("repeatable").asBoolean(false));
-            target = new Target.Answer(span(at + ".answer", node.path("answer")));
         } else {
-            problem(at, "must name a model or a service");
-            return;
+            foreign(at, node, List.of("first-token", "between-tokens"), "a model");
         }
-        classes.put(new ClassName(name), new WorkClass(new ClassName(name), work, target, share));
     }
 
-    private Duration span(String field, JsonNode node) {
-        return Units.duration(node.asText())
-                .filter(Duration::isPositive)
-                .orElseGet(
-                        () -> {
-                            problem(field, "must be a duration such as 250ms");
-                            return Duration.ZERO;
-                        });
+    private void foreign(String at, JsonNode node, List<String> fields, String owner) {
+        fields.stream()
+                .filter(node::has)
+                .forEach(f -> problem(at + "/" + f, "is only for classes of " + owner));
     }
 
-    private long size(String field, JsonNode node) {
-        return Units.size(node.asText())
-                .orElseGet(
-                        () -> {
-                            problem(field, "must be a size such as 64MiB");
-                            return 0L;
-                        });
+    private void problem(String pointer, String message) {
+        problems.add(new Problem(yaml.line(pointer), Problem.field(pointer), message));
+    }
+
+    private Config config(long version) {
+        JsonNode root = yaml.root();
+        Map<String, ModelSpec> models = new HashMap<>();
+        root.path("models").properties().forEach(e -> models.put(e.getKey(), model(e)));
+        Map<ClassName, WorkClass> classes = new HashMap<>();
+        root.path("classes").properties().stream()
+                .map(e -> workClass(new ClassName(e.getKey()), e.getValue()))
+                .forEach(c -> classes.put(c.name(), c));
+        Set<AccountId> revoked = new HashSet<>();
+        root.path("revoked").forEach(account -> revoked.add(new AccountId(account.asText())));
+        return new Config(version, models, classes, revoked);
+    }
+
+    private static ModelSpec model(Map.Entry<String, JsonNode> entry) {
+        JsonNode node = entry.getValue();
+        List<String> adapters = new ArrayList<>();
+        node.path("adapters").forEach(a -> adapters.add(a.asText()));
+        return new ModelSpec(
+                new ModelId(entry.getKey(), node.path("version").asText()),
+                node.path("layers").asInt(),
+                Units.size(node.path("layer-bytes").asText()).orElseThrow(),
+                adapters);
+    }
+
+    private static WorkClass workClass(ClassName name, JsonNode node) {
+        double share = node.path("share").asDouble(WHOLE_SHARE);
+        if (node.has("model")) {
+            return new WorkClass(
+                    name,
+                    new Work.Generate(node.path("model").asText()),
+                    new Target.Stream(span(node, "first-token"), span(node, "between-tokens")),
+                    share);
+        }
+        return new WorkClass(
+                name,
+                new Work.Call(
+                        node.path("service").asText(), node.path("repeatable").asBoolean(false)),
+                new Target.Answer(span(node, "answer")),
+                share);
     }
 
-    private void problem(String field, String message) {
-        problems.add(new Problem(0, field, message));
+    private static Duration span(JsonNode node, String field) {
+        return Units.duration(node.path(field).asText()).orElseThrow();
     }
 }
--- a/src/main/java/hyssopturn/node/Node.java
+++ b/src/main/java/hyssopturn/node/Node.java
@@ -4,6 +4,7 @@
 
 import hyssopturn.admit.OpenAdmission;
 import hyssopturn.config.ConfigController;
+import hyssopturn.config.Seal;
 import hyssopturn.event.Detail;
 import hyssopturn.event.EventRing;
 import hyssopturn.event.HybridClock;
@@ -70,7 +71,9 @@
         this.ports = ports;
         this.meters = meters;
         events = new EventRing(self.id(), new HybridClock(ports.clock()), settings.eventCapacity());
-        config = new ConfigController(ports.log(), ports.clock());
+        config =
+                new ConfigController(
+                        ports.log(), ports.clock(), new Seal(settings.peerSecret()), meters);
         directory =
                 new Directory(
                         ports.instances(),
--- a/src/main/java/hyssopturn/node/NodeSettings.java
+++ b/src/main/java/hyssopturn/node/NodeSettings.java
@@ -11,6 +11,7 @@
  * @param accountSecret secret of the callers' bearer tokens
  * @param peerSecret secret of the links between nodes
  * @param pollInterval time between two readings of the instance list
+ * @param logRetention least time that the platform's log keeps a record
  * @param answerKeep how long a finished answer is kept
  * @param answerBytes greatest size of all answers kept, in bytes
  * @param eventCapacity number of events kept for the time line
@@ -20,6 +21,7 @@
         String accountSecret,
         String peerSecret,
         Duration pollInterval,
+        Duration logRetention,
         Duration answerKeep,
         long answerBytes,
         int eventCapacity) {
@@ -36,6 +38,7 @@
                 "trial-accounts",
                 "trial-peers",
                 Duration.ofMillis(500),
+                Duration.ofHours(1),
                 Duration.ofMinutes(5),
                 64L << 20,
                 10_000);
