Rule on claims by a pure core with group commit and carried keys

Cause: one record a claim, a weak hash, claims lost with the log's retention, outcomes recorded after the answer, releases not retried. Change: LedgerCore decides without clock and I/O, LedgerFold adds up the records, Outbox groups entries and appends one record at a time with sequence numbers that void late and doubled copies, Upkeep writes keys anew before retention ends, and a node serves only after a record showed that it read all live calls. A granted call may be sent only before its deadline; its outcome is in the log before the answer, within 250 ms. Status lists calls in doubt. Readiness no longer needs the log, so that generations are served through its outages. Tests: WholePathTest waits for the ledger too, since readiness does not imply it any more.

--- a/src/main/java/hyssopturn/cli/NodeCommand.java
+++ b/src/main/java/hyssopturn/cli/NodeCommand.java
@@ -81,6 +81,8 @@
                 settings.get(Options.PEER_SECRET),
                 settings.get(Options.POLL_INTERVAL),
                 settings.get(Options.LOG_RETENTION),
+                settings.get(Options.LEDGER_KEEP),
+                settings.get(Options.LOG_APPENDS),
                 settings.get(Options.ANSWER_KEEP),
                 settings.get(Options.ANSWER_BYTES),
                 settings.get(Options.EVENT_CAPACITY));
--- a/src/main/java/hyssopturn/cli/Options.java
+++ b/src/main/java/hyssopturn/cli/Options.java
@@ -72,6 +72,18 @@
                     new Kind.Span(Duration.ofSeconds(1), DAY.multipliedBy(366)),
                     "1h",
                     "Least time that the platform's log keeps a record");
+    static final Setting<Duration> LEDGER_KEEP =
+            new Setting<>(
+                    "ledger-keep",
+                    new Kind.Span(MINUTE, DAY.multipliedBy(366)),
+                    "3d",
+                    "How long the key of a call that must not be repeated is known");
+    static final Setting<Integer> LOG_APPENDS =
+            new Setting<>(
+                    "log-appends",
+                    new Kind.Whole(1, 100_000),
+                    "300",
+                    "Appends a second that the ledgers of all nodes may take together");
     static final Setting<Duration> CONNECT_TIMEOUT =
             new Setting<>(
                     "connect-timeout",
@@ -155,6 +167,8 @@
                     OPERATOR_SECRET,
                     POLL_INTERVAL,
                     LOG_RETENTION,
+                    LEDGER_KEEP,
+                    LOG_APPENDS,
                     CONNECT_TIMEOUT,
                     LOG_TIMEOUT,
                     ENGINE_TIMEOUT,
--- a/src/main/java/hyssopturn/cli/TryCommand.java
+++ b/src/main/java/hyssopturn/cli/TryCommand.java
@@ -154,6 +154,7 @@
 
     private static boolean ready(Daemon daemon) {
         return daemon.node().ready()
+                && daemon.node().ledger().ready()
                 && daemon.node().view().engines().size() == STAGES * 2
                 && daemon.node().view().services().size() == STAGES;
     }
--- a/src/main/java/hyssopturn/filter/Exchange.java
+++ b/src/main/java/hyssopturn/filter/Exchange.java
@@ -8,6 +8,7 @@
 import hyssopturn.model.WorkClass;
 
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /** A request on its way through the filters, with what they have found out. */
 public final class Exchange {
@@ -17,6 +18,7 @@
     private final long arrivedNanos;
     private AccountId account;
     private WorkClass workClass;
+    private BooleanSupplier maySend = () -> true;
 
     /**
      * Creates an exchange.
@@ -93,4 +95,13 @@
     void workClass(WorkClass value) {
         workClass = value;
     }
+
+    /** Tells, right before each sending, whether the request may still be sent. */
+    BooleanSupplier maySend() {
+        return maySend;
+    }
+
+    void maySend(BooleanSupplier value) {
+        maySend = value;
+    }
 }
--- a/src/main/java/hyssopturn/filter/LedgerFilter.java
+++ b/src/main/java/hyssopturn/filter/LedgerFilter.java
@@ -11,26 +11,37 @@
 import hyssopturn.model.Outcome;
 import hyssopturn.model.Reason;
 import hyssopturn.model.Work;
+import hyssopturn.port.Clock;
 
 import io.smallrye.mutiny.Multi;
 import io.smallrye.mutiny.Uni;
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 
 /** Claims calls that must not be repeated, and answers repeats from the ledger. */
 public final class LedgerFilter implements Filter {
+    /**
+     * Greatest time that an answer waits for its record in the log. With the record in the log, no
+     * loss of a node makes the answer unknown; while the log is slow the caller does not wait.
+     */
+    private static final Duration RECORD_WAIT = Duration.ofMillis(250);
+
     private final Ledger ledger;
+    private final Clock clock;
     private final EventRing events;
 
     /**
      * Creates the filter.
      *
      * @param ledger the ledger
+     * @param clock time
      * @param events records claims
      */
-    public LedgerFilter(Ledger ledger, EventRing events) {
+    public LedgerFilter(Ledger ledger, Clock clock, EventRing events) {
         this.ledger = ledger;
+        this.clock = clock;
         this.events = events;
     }
 
@@ -46,7 +57,8 @@
         }
         CallKey callKey = new CallKey(exchange.account(), exchange.workClass().name(), key.get());
         Bytes body = ((Exchange.Input.Json) exchange.call().input()).body();
-        Duration limit = exchange.workClass().target().first();
+        long spent = clock.nanos() - exchange.arrivedNanos();
+        Duration limit = exchange.workClass().target().first().minusNanos(spent);
         return Uni.createFrom()
                 .completionStage(() -> ledger.claim(callKey, body, limit))
                 .onItem()
@@ -56,7 +68,10 @@
     private Multi<AnswerEvent> rule(Ruling ruling, Exchange exchange, Next next) {
         events.record(exchange.request(), new Detail.Claim(ruling.getClass().getSimpleName()));
         return switch (ruling) {
-            case Ruling.Granted granted -> settling(granted, next.proceed(exchange));
+            case Ruling.Granted granted -> {
+                exchange.maySend(() -> clock.nanos() < granted.sendBeforeNanos());
+                yield settling(granted, next.proceed(exchange));
+            }
             case Ruling.Recorded(Outcome outcome, Bytes body) -> replay(outcome, body);
             case Ruling.InDoubt() ->
                     Multi.createFrom().item(End.unknown("an earlier call with this key may run"));
@@ -76,7 +91,10 @@
                 .deferred(
                         () -> {
                             Settlement settlement = new Settlement(granted);
-                            return answer.onItem().transformToUniAndConcatenate(settlement::on);
+                            return answer.onFailure()
+                                    .recoverWithItem(e -> End.unknown(String.valueOf(e)))
+                                    .onItem()
+                                    .transformToUniAndConcatenate(settlement::on);
                         });
     }
 
@@ -93,10 +111,26 @@
                 body = given;
             }
             if (event instanceof End end) {
-                ledger.settle(granted, end, body);
+                return Uni.createFrom().completionStage(() -> settled(end));
             }
             return Uni.createFrom().item(event);
         }
+
+        private CompletableFuture<AnswerEvent> settled(End end) {
+            CompletableFuture<AnswerEvent> answer = new CompletableFuture<>();
+            CompletableFuture<Void> recorded = ledger.settle(granted, end, body);
+            if (end.outcome() == Outcome.NOT_RUN) {
+                answer.complete(end);
+                return answer;
+            }
+            Clock.Timer bound = clock.after(RECORD_WAIT, () -> answer.complete(end));
+            recorded.whenComplete(
+                    (nothing, error) -> {
+                        bound.cancel();
+                        answer.complete(end);
+                    });
+            return answer;
+        }
     }
 
     private static Multi<AnswerEvent> replay(Outcome outcome, Bytes body) {
--- a/src/main/java/hyssopturn/filter/RunFilter.java
+++ b/src/main/java/hyssopturn/filter/RunFilter.java
@@ -46,7 +46,8 @@
                                     exchange.account(),
                                     exchange.workClass().name(),
                                     exchange.call().key(),
-                                    ((Exchange.Input.Json) exchange.call().input()).body()));
+                                    ((Exchange.Input.Json) exchange.call().input()).body()),
+                            exchange.maySend());
         };
     }
 
--- a/src/main/java/hyssopturn/front/StatusForm.java
+++ b/src/main/java/hyssopturn/front/StatusForm.java
@@ -1,15 +1,21 @@
 package hyssopturn.front;
 
+import hyssopturn.ledger.InDoubtCall;
 import hyssopturn.node.Node;
 import hyssopturn.port.Instance;
 
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.stream.Stream;
 
 /** JSON form of a node's state. */
 final class StatusForm {
+    /** Least age of a claim that is shown; younger ones run. */
+    private static final Duration IN_DOUBT_AGE = Duration.ofSeconds(10);
+
     private StatusForm() {}
 
     /** Tells what anybody may know. */
@@ -19,10 +25,35 @@
                 .put("config", node.config().version())
                 .put("running", node.running())
                 .put("ready", node.ready())
+                .put("ledger", ledger(node))
                 .put("engines", names(node.view().engines().stream().map(e -> e.instance())))
                 .put("services", names(node.view().services().stream()));
     }
 
+    private static JsonObject ledger(Node node) {
+        return new JsonObject()
+                .put("ready", node.ledger().ready())
+                .put("keys", node.ledger().size())
+                .put("inDoubt", node.ledger().inDoubt(IN_DOUBT_AGE).size());
+    }
+
+    private static JsonArray inDoubt(Node node) {
+        JsonArray calls = new JsonArray();
+        for (InDoubtCall call : node.ledger().inDoubt(IN_DOUBT_AGE)) {
+            calls.add(
+                    new JsonObject()
+                            .put("account", call.key().account().value())
+                            .put("class", call.key().workClass().value())
+                            .put("key", call.key().key())
+                            .put("claimedAt", Instant.ofEpochMilli(call.wallMillis()).toString())
+                            .put("ageSeconds", call.age().toSeconds())
+                            .put("author", call.author())
+                            .put("claim", call.number())
+                            .put("reported", call.reported()));
+        }
+        return calls;
+    }
+
     private static JsonArray names(Stream<Instance> instances) {
         JsonArray names = new JsonArray();
         instances.forEach(i -> names.add(i.id().value()));
@@ -41,6 +72,6 @@
                                         new JsonObject()
                                                 .put("within", count.within())
                                                 .put("total", count.total())));
-        status.put("classes", classes);
+        status.put("classes", classes).put("inDoubt", inDoubt(node));
     }
 }
--- a/src/main/java/hyssopturn/ledger/Ledger.java
+++ b/src/main/java/hyssopturn/ledger/Ledger.java
@@ -4,6 +4,7 @@
 import hyssopturn.model.Bytes;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
 /** Agreement over all nodes on which calls have run. */
@@ -19,7 +20,8 @@
     CompletableFuture<Ruling> claim(CallKey key, Bytes body, Duration limit);
 
     /**
-     * Records how a granted call ended; {@code not-run} gives the claim back.
+     * Records how a granted call ended; {@code not-run} gives the claim back. The record is retried
+     * until it is in the log, through outages too.
      *
      * @param grant the grant
      * @param end how it ended
@@ -28,6 +30,21 @@
      */
     CompletableFuture<Void> settle(Ruling.Granted grant, AnswerEvent.End end, Bytes body);
 
+    /**
+     * Lists claimed calls whose outcome is not in the log, oldest record first.
+     *
+     * @param minAge least time since the claim; a call that is running now is younger
+     * @return the calls
+     */
+    List<InDoubtCall> inDoubt(Duration minAge);
+
+    /**
+     * Counts the keys that are known.
+     *
+     * @return number of keys
+     */
+    int size();
+
     /**
      * Tells whether the ledger has been read whole.
      *
--- a/src/main/java/hyssopturn/ledger/LogLedger.java
+++ b/src/main/java/hyssopturn/ledger/LogLedger.java
@@ -1,10 +1,10 @@
 package hyssopturn.ledger;
 
+import com.google.common.flogger.FluentLogger;
+
 import hyssopturn.log.LogFollower;
 import hyssopturn.model.AnswerEvent;
 import hyssopturn.model.Bytes;
-import hyssopturn.model.Outcome;
-import hyssopturn.model.Reason;
 import hyssopturn.port.Clock;
 import hyssopturn.port.LogPage;
 import hyssopturn.port.LogService;
@@ -15,40 +15,61 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Supplier;
-
-/** Ledger on a stream of the log: the first claim of a call in the log owns it. */
+import java.util.concurrent.CompletionException;
+import java.util.function.LongFunction;
+import java.util.random.RandomGenerator;
+
+/**
+ * Ledger on a stream of the log: the first claim of a call in the log owns it.
+ *
+ * <p>Carries out what {@link LedgerCore} decides. Actions are taken after the lock is left.
+ */
 public final class LogLedger implements Ledger {
     /** Stream of the log that holds claims and outcomes. */
     public static final String STREAM = "ledger";
 
+    /**
+     * Greatest answer that is kept for repeats, in bytes; of a larger one only the size is kept.
+     */
+    public static final int MAX_ANSWER = 16 << 10;
+
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
     private final LogService log;
     private final Clock clock;
-    private final Supplier<String> names;
     private final LogFollower follower;
-    private final Map<CallKey, State> calls = new HashMap<>();
-    private final Map<String, Waiter> waiters = new HashMap<>();
-    private final Map<CallKey, List<CompletableFuture<Ruling>>> repeats = new HashMap<>();
-    private boolean whole;
-
-    private record State(String claim, int bodyHash, Optional<LedgerRecord.Settled> settled) {}
-
-    private record Waiter(CallKey key, int bodyHash, CompletableFuture<Ruling> ruling) {}
+    private final LedgerCore core;
+    private final long originNanos;
+    private final Map<Long, CompletableFuture<Ruling>> asks = new HashMap<>();
+    private final Map<ClaimId, CompletableFuture<Void>> settlements = new HashMap<>();
+    private final List<CompletableFuture<Void>> flushes = new ArrayList<>();
+    private Clock.Timer timer = () -> {};
+    private long timerNanos = Long.MAX_VALUE;
+    private long asked;
+    private boolean wasWhole;
+    private boolean stopped;
 
     /**
      * Creates a ledger that has not started.
      *
+     * @param author name of this process, never used before or again by any other
+     * @param settings settings, the same at all nodes
      * @param log the log
      * @param clock time
-     * @param names gives a new unique name for each claim
+     * @param random spreads retries
      */
-    public LogLedger(LogService log, Clock clock, Supplier<String> names) {
+    public LogLedger(
+            String author,
+            LedgerSettings settings,
+            LogService log,
+            Clock clock,
+            RandomGenerator random) {
         this.log = log;
         this.clock = clock;
-        this.names = names;
-        follower = new LogFollower(log, STREAM, clock, this::apply);
+        originNanos = clock.nanos();
+        core = new LedgerCore(author, settings, random);
+        follower = new LogFollower(log, STREAM, clock, this::read);
     }
 
     /** Starts reading. */
@@ -56,154 +77,169 @@
         follower.start();
     }
 
-    /** Stops reading. */
+    /** Stops reading and writing at once; what is not in the log yet is lost. */
     public void stop() {
         follower.stop();
+        synchronized (this) {
+            stopped = true;
+            timer.cancel();
+        }
     }
 
     @Override
     public synchronized boolean ready() {
-        return whole;
+        return core.whole();
     }
 
     @Override
     public CompletableFuture<Ruling> claim(CallKey key, Bytes body, Duration limit) {
-        String claim = names.get();
         CompletableFuture<Ruling> ruling = new CompletableFuture<>();
-        synchronized (this) {
-            if (!whole) {
-                return CompletableFuture.completedFuture(
-                        new Ruling.Unavailable(
-                                Reason.LOG_UNAVAILABLE, "the ledger is not read whole yet"));
-            }
-            State state = calls.get(key);
-            if (state != null) {
-                return repeat(key, state, body.hashCode(), limit);
-            }
-            waiters.put(claim, new Waiter(key, body.hashCode(), ruling));
-        }
-        LedgerRecord record = new LedgerRecord.Claimed(key, claim, body.hashCode());
-        log.append(STREAM, LedgerRecord.encode(record))
-                .whenComplete((offset, error) -> appended(claim, error));
-        clock.after(limit, () -> giveUp(key, claim));
+        Fingerprint print = Fingerprint.of(body);
+        boolean readable = follower.healthy();
+        long wall = clock.wallMillis();
+        on(
+                now -> {
+                    long id = ++asked;
+                    asks.put(id, ruling);
+                    core.readable(readable);
+                    return core.claim(id, key, print, wall, now + limit.toNanos(), now);
+                });
         return ruling;
     }
 
-    private CompletableFuture<Ruling> repeat(
-            CallKey key, State state, int bodyHash, Duration limit) {
-        CompletableFuture<Ruling> ruling = new CompletableFuture<>();
-        if (state.bodyHash() != bodyHash || state.settled().isPresent()) {
-            ruling.complete(ruling(state, bodyHash));
-            return ruling;
-        }
-        repeats.computeIfAbsent(key, k -> new ArrayList<>()).add(ruling);
-        clock.after(limit, () -> ruling.complete(new Ruling.InDoubt()));
-        return ruling;
+    @Override
+    public CompletableFuture<Void> settle(Ruling.Granted grant, AnswerEvent.End end, Bytes body) {
+        CompletableFuture<Void> stored = new CompletableFuture<>();
+        ClaimId claim = new ClaimId(grant.author(), grant.number());
+        on(
+                now -> {
+                    settlements.put(claim, stored);
+                    return core.settle(claim, end.outcome(), kept(body), now);
+                });
+        return stored;
     }
 
-    private void appended(String claim, Throwable error) {
-        if (error instanceof RefusedException) {
-            Waiter waiter;
-            synchronized (this) {
-                waiter = waiters.remove(claim);
-            }
-            if (waiter != null) {
-                waiter.ruling()
-                        .complete(
-                                new Ruling.Unavailable(Reason.LOG_UNAVAILABLE, error.getMessage()));
-            }
-        }
+    private static Bytes kept(Bytes body) {
+        return body.size() <= MAX_ANSWER
+                ? body
+                : Bytes.utf8("{\"answer\":\"not kept\",\"bytes\":" + body.size() + "}");
     }
 
-    private void giveUp(CallKey key, String claim) {
-        Waiter waiter;
-        synchronized (this) {
-            waiter = waiters.remove(claim);
-        }
-        if (waiter != null) {
-            log.append(STREAM, LedgerRecord.encode(new LedgerRecord.Released(key, claim)));
-            waiter.ruling()
-                    .complete(
-                            new Ruling.Unavailable(
-                                    Reason.LOG_UNAVAILABLE, "the log gave no answer in time"));
-        }
+    @Override
+    public synchronized List<InDoubtCall> inDoubt(Duration minAge) {
+        return core.inDoubt(minAge, now());
+    }
+
+    /**
+     * Waits until everything that was settled is in the log.
+     *
+     * @return completes when nothing waits to be appended
+     */
+    public CompletableFuture<Void> flush() {
+        CompletableFuture<Void> flushed = new CompletableFuture<>();
+        on(
+                now -> {
+                    flushes.add(flushed);
+                    return core.tick(now);
+                });
+        return flushed;
     }
 
     @Override
-    public CompletableFuture<Void> settle(Ruling.Granted grant, AnswerEvent.End end, Bytes body) {
-        LedgerRecord record =
-                end.outcome() == Outcome.NOT_RUN
-                        ? new LedgerRecord.Released(grant.key(), grant.claim())
-                        : new LedgerRecord.Settled(grant.key(), grant.claim(), end.outcome(), body);
-        return log.append(STREAM, LedgerRecord.encode(record)).thenApply(offset -> null);
+    public synchronized int size() {
+        return core.size();
     }
 
-    private void apply(LogPage page) {
-        List<Runnable> rulings = new ArrayList<>();
+    private void read(LogPage page) {
+        List<LedgerCore.Read> records =
+                page.records().stream()
+                        .map(e -> new LedgerCore.Read(e.offset(), BatchCodec.decode(e.data())))
+                        .toList();
+        on(now -> core.read(page, records, now));
+    }
+
+    private void on(LongFunction<List<LedgerAction>> event) {
+        List<Runnable> tasks = new ArrayList<>();
         synchronized (this) {
-            for (LogPage.Entry entry : page.records()) {
-                LedgerRecord.decode(entry.data()).ifPresent(r -> apply(r, rulings));
-            }
-            whole |= page.next() >= page.end();
-        }
-        rulings.forEach(Runnable::run);
-    }
-
-    private void apply(LedgerRecord record, List<Runnable> rulings) {
-        State state = calls.get(record.key());
-        switch (record) {
-            case LedgerRecord.Claimed claimed -> {
-                if (state == null) {
-                    state = new State(claimed.claim(), claimed.bodyHash(), Optional.empty());
-                    calls.put(claimed.key(), state);
-                }
-                Waiter waiter = waiters.remove(claimed.claim());
-                if (waiter != null) {
-                    Ruling ruling =
-                            state.claim().equals(claimed.claim())
-                                    ? new Ruling.Granted(claimed.key(), claimed.claim())
-                                    : ruling(state, waiter.bodyHash());
-                    rulings.add(() -> waiter.ruling().complete(ruling));
-                }
+            if (stopped) {
+                return;
             }
-            case LedgerRecord.Settled settled -> {
-                if (state != null && state.claim().equals(settled.claim())) {
-                    calls.put(
-                            settled.key(),
-                            new State(state.claim(), state.bodyHash(), Optional.of(settled)));
-                    Ruling ruling = new Ruling.Recorded(settled.outcome(), settled.body());
-                    rulings.add(() -> answerRepeats(settled.key(), ruling));
-                }
+            for (LedgerAction action : event.apply(now())) {
+                tasks.add(task(action));
             }
-            case LedgerRecord.Released released -> {
-                if (state != null && state.claim().equals(released.claim())) {
-                    calls.remove(released.key());
-                    Ruling ruling =
-                            new Ruling.Unavailable(
-                                    Reason.NO_ENDPOINT,
-                                    "an earlier call with this key did not run");
-                    rulings.add(() -> answerRepeats(released.key(), ruling));
-                }
+            if (core.idle()) {
+                List<CompletableFuture<Void>> done = List.copyOf(flushes);
+                flushes.clear();
+                tasks.add(() -> done.forEach(f -> f.complete(null)));
             }
+            noteState();
+            schedule();
         }
+        tasks.forEach(Runnable::run);
     }
 
-    private void answerRepeats(CallKey key, Ruling ruling) {
-        List<CompletableFuture<Ruling>> waiting;
-        synchronized (this) {
-            waiting = repeats.remove(key);
+    private long now() {
+        return clock.nanos() - originNanos;
+    }
+
+    private Runnable task(LedgerAction action) {
+        return switch (action) {
+            case LedgerAction.Append(Batch batch, long attempt) -> () -> append(batch, attempt);
+            case LedgerAction.Rule(long id, Ruling ruling) -> {
+                CompletableFuture<Ruling> asker = asks.remove(id);
+                yield () -> asker.complete(absolute(ruling));
+            }
+            case LedgerAction.Stored(ClaimId claim) -> {
+                CompletableFuture<Void> stored = settlements.remove(claim);
+                yield () -> stored.complete(null);
+            }
+        };
+    }
+
+    private Ruling absolute(Ruling ruling) {
+        return ruling instanceof Ruling.Granted(var key, var author, var number, var before)
+                ? new Ruling.Granted(key, author, number, before + originNanos)
+                : ruling;
+    }
+
+    private void append(Batch batch, long attempt) {
+        log.append(STREAM, BatchCodec.encode(batch))
+                .whenComplete(
+                        (offset, error) -> {
+                            Throwable cause =
+                                    error instanceof CompletionException ? error.getCause() : error;
+                            if (cause == null) {
+                                on(now -> core.appended(batch.sequence(), now));
+                            } else if (cause instanceof RefusedException) {
+                                on(now -> core.refused(attempt, now));
+                            } else {
+                                on(now -> core.doubted(attempt, now));
+                            }
+                        });
+    }
+
+    private void noteState() {
+        if (core.whole() != wasWhole) {
+            wasWhole = core.whole();
+            logger.atInfo().log(
+                    "ledger=%s keys=%d", wasWhole ? "whole" : "records-missed", core.size());
         }
-        if (waiting != null) {
-            waiting.forEach(w -> w.complete(ruling));
+    }
+
+    private void schedule() {
+        long due = core.dueNanos(now()).orElse(Long.MAX_VALUE);
+        if (due == Long.MAX_VALUE || due >= timerNanos) {
+            return;
         }
+        timer.cancel();
+        timerNanos = due;
+        timer = clock.after(Duration.ofNanos(Math.max(0, due - now())), this::tick);
     }
 
-    private static Ruling ruling(State state, int bodyHash) {
-        if (state.bodyHash() != bodyHash) {
-            return new Ruling.Conflict();
+    private void tick() {
+        synchronized (this) {
+            timerNanos = Long.MAX_VALUE;
         }
-        return state.settled()
-                .<Ruling>map(s -> new Ruling.Recorded(s.outcome(), s.body()))
-                .orElseGet(Ruling.InDoubt::new);
+        on(core::tick);
     }
 }
--- a/src/main/java/hyssopturn/ledger/Ruling.java
+++ b/src/main/java/hyssopturn/ledger/Ruling.java
@@ -10,9 +10,13 @@
      * The asker owns the call and may send it, once.
      *
      * @param key the call
-     * @param claim unique name of the claim
+     * @param author process that claimed
+     * @param number number of the claim among those of its author
+     * @param sendBeforeNanos when it must have been sent, on the node's monotonic clock; later it
+     *     must be given back
      */
-    record Granted(CallKey key, String claim) implements Ruling {}
+    record Granted(CallKey key, String author, long number, long sendBeforeNanos)
+            implements Ruling {}
 
     /**
      * The call has ended before.
--- a/src/main/java/hyssopturn/log/LogFollower.java
+++ b/src/main/java/hyssopturn/log/LogFollower.java
@@ -19,7 +19,7 @@
  */
 public final class LogFollower {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final int PAGE = 1_000;
+    private static final int PAGE = 250;
     private static final Duration WAIT = Duration.ofSeconds(2);
     private static final Duration READ_LIMIT = WAIT.plusMillis(1_500);
 
--- a/src/main/java/hyssopturn/node/Node.java
+++ b/src/main/java/hyssopturn/node/Node.java
@@ -19,6 +19,8 @@
 import hyssopturn.filter.LedgerFilter;
 import hyssopturn.filter.OutcomeFilter;
 import hyssopturn.filter.RunFilter;
+import hyssopturn.ledger.Ledger;
+import hyssopturn.ledger.LedgerSettings;
 import hyssopturn.ledger.LogLedger;
 import hyssopturn.member.Directory;
 import hyssopturn.member.View;
@@ -81,7 +83,16 @@
                         ports.clock(),
                         events,
                         settings.pollInterval());
-        ledger = new LogLedger(ports.log(), ports.clock(), this::uniqueName);
+        ledger =
+                new LogLedger(
+                        uniqueName(),
+                        new LedgerSettings(
+                                settings.ledgerKeep(),
+                                settings.logRetention(),
+                                settings.logAppends()),
+                        ports.log(),
+                        ports.clock(),
+                        ports.random());
         answers = new Answers(ports.clock(), settings.answerKeep(), settings.answerBytes());
         attainment = new Attainment(meters);
         filters = filters(settings);
@@ -95,7 +106,7 @@
                         new AccountFilter(new Credentials(settings.accountSecret())),
                         new ClassFilter(events),
                         new AttainmentFilter(attainment, ports.clock()),
-                        new LedgerFilter(ledger, events),
+                        new LedgerFilter(ledger, ports.clock(), events),
                         new AdmitFilter(new OpenAdmission(), ports.clock()),
                         new RunFilter(
                                 new NaiveDriver(
@@ -162,21 +173,21 @@
     }
 
     /**
-     * Tells whether the node can serve.
+     * Tells whether the node can serve. Classes that must not be repeated may still be refused,
+     * while the ledger is not ready.
      *
      * @return true once it has a configuration and sees endpoints, until it shuts down
      */
     public boolean ready() {
         return config.current().version() > 0
-                && ledger.ready()
                 && !directory.view().engines().isEmpty()
                 && !drain.draining();
     }
 
     /**
-     * Shuts down gracefully: refuses new requests and waits for those in progress.
+     * Shuts down gracefully: refuses new requests, waits for those in progress and for the ledger.
      *
-     * @return completes when none is in progress
+     * @return completes when no request is in progress and the ledger is in the log
      */
     public CompletableFuture<Void> drain() {
         state("draining");
@@ -189,7 +200,7 @@
                         self.zone(),
                         true);
         ports.instances().announce(self);
-        return drain.drain();
+        return drain.drain().thenCompose(idle -> ledger.flush());
     }
 
     /** Stops the controllers at once. */
@@ -201,6 +212,15 @@
         state("stopped");
     }
 
+    /**
+     * Returns the agreement on calls that must not be repeated.
+     *
+     * @return the ledger
+     */
+    public Ledger ledger() {
+        return ledger;
+    }
+
     /**
      * Returns how the node is listed.
      *
--- a/src/main/java/hyssopturn/node/NodeSettings.java
+++ b/src/main/java/hyssopturn/node/NodeSettings.java
@@ -12,6 +12,8 @@
  * @param peerSecret secret of the links between nodes
  * @param pollInterval time between two readings of the instance list
  * @param logRetention least time that the platform's log keeps a record
+ * @param ledgerKeep how long the key of a call that must not be repeated is known
+ * @param logAppends appends a second that the ledgers of all nodes may take together
  * @param answerKeep how long a finished answer is kept
  * @param answerBytes greatest size of all answers kept, in bytes
  * @param eventCapacity number of events kept for the time line
@@ -22,6 +24,8 @@
         String peerSecret,
         Duration pollInterval,
         Duration logRetention,
+        Duration ledgerKeep,
+        int logAppends,
         Duration answerKeep,
         long answerBytes,
         int eventCapacity) {
@@ -39,6 +43,8 @@
                 "trial-peers",
                 Duration.ofMillis(500),
                 Duration.ofHours(1),
+                Duration.ofDays(3),
+                300,
                 Duration.ofMinutes(5),
                 64L << 20,
                 10_000);
--- a/src/main/java/hyssopturn/run/ServiceDriver.java
+++ b/src/main/java/hyssopturn/run/ServiceDriver.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -51,31 +52,39 @@
      *
      * @param service name of the service
      * @param call the call
+     * @param maySend asked right before each sending; once false, nothing is sent any more
      * @return the answer's body if there is one, then one end
      */
-    public Multi<AnswerEvent> run(String service, ServiceCall call) {
+    public Multi<AnswerEvent> run(String service, ServiceCall call, BooleanSupplier maySend) {
         return Uni.createFrom()
-                .completionStage(() -> call(service, call))
+                .completionStage(() -> call(service, call, maySend))
                 .onItem()
                 .transformToMulti(parts -> Multi.createFrom().iterable(parts));
     }
 
-    private CompletableFuture<List<AnswerEvent>> call(String service, ServiceCall call) {
+    private CompletableFuture<List<AnswerEvent>> call(
+            String service, ServiceCall call, BooleanSupplier maySend) {
         List<Instance> candidates = new ArrayList<>(view.get().servicesNamed(service));
         CompletableFuture<List<AnswerEvent>> answer = new CompletableFuture<>();
-        next(candidates, call, answer);
+        next(candidates, call, maySend, answer);
         return answer;
     }
 
     private void next(
             List<Instance> candidates,
             ServiceCall call,
+            BooleanSupplier maySend,
             CompletableFuture<List<AnswerEvent>> answer) {
         if (candidates.isEmpty()) {
             String message = "no instance of the service takes the call";
             answer.complete(List.of(AnswerEvent.End.notRun(Reason.NO_ENDPOINT, message)));
             return;
         }
+        if (!maySend.getAsBoolean()) {
+            String message = "the time to send the call has passed";
+            answer.complete(List.of(AnswerEvent.End.notRun(Reason.DEADLINE, message)));
+            return;
+        }
         Instance chosen = candidates.remove(random.nextInt(candidates.size()));
         services.call(chosen.address(), call, Dial.POOLED)
                 .whenComplete(
@@ -90,7 +99,7 @@
                                     call.request(),
                                     new Detail.EndpointFailed(chosen.id(), cause.toString()));
                             if (cause instanceof RefusedException) {
-                                next(candidates, call, answer);
+                                next(candidates, call, maySend, answer);
                             } else {
                                 answer.complete(List.of(end(cause)));
                             }
--- a/src/test/java/hyssopturn/WholePathTest.java
+++ b/src/test/java/hyssopturn/WholePathTest.java
@@ -80,6 +80,7 @@
         for (int i = 0; i < READY_TRIES; i++) {
             JsonObject status = new JsonObject(get(node, "/v1/status"));
             if (status.getBoolean("ready")
+                    && status.getJsonObject("ledger").getBoolean("ready")
                     && status.getJsonArray("engines").size() == 3
                     && status.getJsonArray("services").size() == 1) {
                 return;
