--- a/src/main/java/hyssopturn/config/ConfigController.java
+++ b/src/main/java/hyssopturn/config/ConfigController.java
@@ -51,9 +51,13 @@
      * @param meters where it counts
      */
     public ConfigController(LogService log, Clock clock, Seal seal, MeterRegistry meters) {
+        this(log, clock, new ConfigFold(seal), meters);
+    }
+
+    ConfigController(LogService log, Clock clock, ConfigFold fold, MeterRegistry meters) {
         this.clock = clock;
         this.meters = meters;
-        fold = new ConfigFold(seal);
+        this.fold = fold;
         follower = new LogFollower(log, STREAM, clock, this::fold);
         meters.gauge("hyssopturn.config.version", this, c -> c.current().version());
         meters.gauge("hyssopturn.config.settled", this, c -> c.state.settled() ? 1 : 0);
--- a/src/main/java/hyssopturn/config/ConfigFold.java
+++ b/src/main/java/hyssopturn/config/ConfigFold.java
@@ -14,7 +14,7 @@
  * until a snapshot settles it: one that had read all records before those that the reader has, and
  * that no publication overtook.
  */
-public final class ConfigFold {
+public class ConfigFold {
     private final Seal seal;
 
     /**
@@ -78,7 +78,7 @@
         if (!state.settled() && !overAny) {
             return new Step(state, new Verdict.Undetermined());
         }
-        if (!overAny && record.base() != state.version()) {
+        if (!overAny && !onTop(state, record)) {
             return new Step(state, late(state, record));
         }
         try {
@@ -91,6 +91,11 @@
         }
     }
 
+    /** Tells whether a publication was edited from the version in force. */
+    boolean onTop(FoldState state, Publication record) {
+        return record.base() == state.version();
+    }
+
     private static Verdict late(FoldState state, Publication record) {
         String winner = state.accepted().map(AcceptedDocument::publication).orElse("");
         if (winner.equals(record.publication())) {
