--- a/src/test/java/hyssopturn/config/ConfigFoldTest.java
+++ b/src/test/java/hyssopturn/config/ConfigFoldTest.java
@@ -189,6 +189,15 @@
             assertThat(fate.join(), instanceOf(Published.Unknown.class));
         }
 
+        @Test
+        void logThatDroppedItsStartBeforeAnyDocumentTakesOneOverAnyVersion() {
+            log.append(ConfigController.STREAM, Bytes.utf8("junk"));
+            log.truncate(ConfigController.STREAM, 2);
+            assertThat(publish(OptionalLong.empty()), instanceOf(Published.NotSent.class));
+            assertThat(
+                    publish(OptionalLong.of(ConfigRecord.ANY_BASE)), is(new Published.Accepted(2)));
+        }
+
         @Test
         void staleBaseIsRejectedBeforeTheAppend() {
             publish(OptionalLong.empty());
