Measure slopes of state and of the path of a token

Cause: docs/CAPACITY.md needs costs that are measured, not guessed. Change: slopes command: events, answers, configuration, requests in progress, and processor time of a node's own threads over loopback; least squares over three sizes.

--- /dev/null
+++ b/src/main/java/hyssopturn/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Load and measurements on small stand-ins. */
+package hyssopturn.bench;
--- a/src/main/java/hyssopturn/cli/Program.java
+++ b/src/main/java/hyssopturn/cli/Program.java
@@ -39,6 +39,7 @@
                 new CommandLine(new Program())
                         .addSubcommand(new NodeCommand())
                         .addSubcommand(new TryCommand())
+                        .addSubcommand(new SlopesCommand())
                         .addSubcommand(new StatusCommand())
                         .addSubcommand(new TimelineCommand())
                         .addSubcommand(new TokenCommand())
