Cut off no stream in a graceful shutdown

Cause: the shutdown waited for runs, not for their replies, so the last bytes could be lost; and a connection upgraded to HTTP/2 was closed with streams on it (WholePathTest Shutdown: java.io.IOException: closed). Ruled out: the drain itself, since the same stream over HTTP/1.1 (curl) ended whole. Change: the server shuts down gracefully after the drain; no upgrade to clear-text HTTP/2; the number of connections is bounded as its setting says.

--- a/src/main/java/hyssopturn/cli/Daemon.java
+++ b/src/main/java/hyssopturn/cli/Daemon.java
@@ -25,10 +25,12 @@
 import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
 
 /** A node with its adapters and servers, running in this process. */
 final class Daemon implements AutoCloseable {
     private static final int TIMER_THREADS = 2;
+    private static final Duration REPLY_LIMIT = Duration.ofSeconds(10);
 
     private final SystemClock clock = new SystemClock(TIMER_THREADS);
     private final HttpCaller caller;
@@ -101,6 +103,15 @@
         return node.self().address();
     }
 
+    /**
+     * Shuts down gracefully: no request in progress is cut off, and its last bytes are sent before
+     * the process ends.
+     */
+    void drain(Duration limit) {
+        node.drain().completeOnTimeout(null, limit.toMillis(), TimeUnit.MILLISECONDS).join();
+        server.shutdown(REPLY_LIMIT.toMillis(), TimeUnit.MILLISECONDS).await();
+    }
+
     @Override
     public void close() {
         node.stop();
--- a/src/main/java/hyssopturn/cli/NodeCommand.java
+++ b/src/main/java/hyssopturn/cli/NodeCommand.java
@@ -11,7 +11,6 @@
 
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 
 /** Runs one node until it is told to stop. */
 @Command(
@@ -47,11 +46,7 @@
     }
 
     private static void stop(Daemon daemon, Settings settings) {
-        daemon.node()
-                .drain()
-                .completeOnTimeout(
-                        null, settings.get(Options.DRAIN_TIMEOUT).toMillis(), TimeUnit.MILLISECONDS)
-                .join();
+        daemon.drain(settings.get(Options.DRAIN_TIMEOUT));
         daemon.close();
     }
 
--- a/src/main/java/hyssopturn/front/HttpFront.java
+++ b/src/main/java/hyssopturn/front/HttpFront.java
@@ -15,6 +15,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.json.DecodeException;
@@ -25,6 +26,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** HTTP server of a node: what callers send, health, metrics and events. */
 public final class HttpFront {
@@ -37,6 +39,7 @@
     private final PrometheusMeterRegistry meters;
     private final FrontLimits limits;
     private final Credentials operators;
+    private final AtomicInteger connections = new AtomicInteger();
 
     /**
      * Creates the front of a node.
@@ -66,10 +69,25 @@
         HttpServerOptions options =
                 new HttpServerOptions()
                         .setTcpNoDelay(true)
+                        // an upgraded connection would be cut off by a graceful shutdown
+                        .setHttp2ClearTextEnabled(false)
                         .setMaxHeaderSize(limits.headerBytes())
                         .setIdleTimeout((int) limits.idle().toMillis())
                         .setIdleTimeoutUnit(TimeUnit.MILLISECONDS);
-        return vertx.createHttpServer(options).requestHandler(router(vertx)).listen(port, host);
+        return vertx.createHttpServer(options)
+                .connectionHandler(this::connected)
+                .requestHandler(router(vertx))
+                .listen(port, host);
+    }
+
+    private void connected(HttpConnection connection) {
+        if (connections.incrementAndGet() > limits.connections()) {
+            meters.counter("hyssopturn.connections.refused").increment();
+            connections.decrementAndGet();
+            connection.close();
+            return;
+        }
+        connection.closeHandler(nothing -> connections.decrementAndGet());
     }
 
     private Router router(Vertx vertx) {
--- a/src/test/java/hyssopturn/WholePathTest.java
+++ b/src/test/java/hyssopturn/WholePathTest.java
@@ -1,6 +1,7 @@
 package hyssopturn;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 
 import hyssopturn.Processes.Running;
@@ -29,8 +30,11 @@
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** The whole path, every part a process of its own. */
 class WholePathTest {
@@ -44,10 +48,11 @@
     private static final Processes processes = new Processes();
     private static final List<Address> nodes = new ArrayList<>();
     private static Address service;
+    private static String platform;
 
     @BeforeAll
     static void startEverything() throws Exception {
-        String platform = "--platform=" + processes.start("standin", "platform").address();
+        platform = "--platform=" + processes.start("standin", "platform").address();
         for (int from = 0; from < 12; from += 4) {
             processes.start(
                     "standin",
@@ -156,13 +161,90 @@
 
     @Nested
     class BadInput {
+        private static final String CALL = "/v1/calls/shipment-booking";
+        private static final int BODY_LIMIT = 1 << 20;
+
+        @Test
+        void isRefusedWithATypedErrorAndNeverReachesAnEndpoint() throws Exception {
+            int before = calls();
+            assertRefused(post(node(), CALL, "", "{}"), 400, "key-required");
+            assertRefused(post(node(), CALL, "k", "{"), 400, "invalid-request");
+            assertRefused(post(node(), "/v1/calls/none", "k", "{}"), 404, "unknown-class");
+            assertRefused(
+                    post(node(), "/v1/calls/cutting-sheet", "k", "{}"), 400, "invalid-request");
+            String large = "{\"a\":\"" + "x".repeat(BODY_LIMIT) + "\"}";
+            assertRefused(post(node(), CALL, "k", large), 413, "invalid-request");
+            assertThat(calls(), is(before));
+        }
+
+        @Test
+        void ofModelsIsRefusedWithATypedError() throws Exception {
+            String path = "/v1/chat/completions";
+            assertRefused(post(node(), path, "", "{\"model\":"), 400, "invalid-request");
+            assertRefused(post(node(), path, "", "[1]"), 400, "invalid-request");
+            String tokens =
+                    "{\"model\":\"cutting-sheet\",\"max_tokens\":0,\"messages\":"
+                            + "[{\"content\":\"x\"}]}";
+            assertRefused(post(node(), path, "", tokens), 400, "invalid-request");
+        }
+
+        @Test
+        void withoutAGenuineTokenIsTurnedAway() throws Exception {
+            HttpRequest request =
+                    HttpRequest.newBuilder(URI.create("http://" + node() + CALL))
+                            .header("Authorization", "Bearer ana.forged")
+                            .POST(HttpRequest.BodyPublishers.ofString("{}"))
+                            .build();
+            assertRefused(HTTP.send(request, BodyHandlers.ofString()), 401, "unauthenticated");
+        }
+
+        @Test
+        void ofAKeyUsedWithAnotherBodyIsAConflict() throws Exception {
+            post(node(), CALL, "crate-8", "{\"crate\":8}");
+            assertRefused(post(node(), CALL, "crate-8", "{\"crate\":9}"), 409, "key-conflict");
+        }
+
+        private Address node() {
+            return nodes.get(0);
+        }
+
+        private int calls() throws Exception {
+            return new JsonObject(get(service, "/v1/journal")).getJsonArray("calls").size();
+        }
+
+        private void assertRefused(HttpResponse<String> answer, int status, String type) {
+            assertThat(answer.statusCode(), is(status));
+            JsonObject body = new JsonObject(answer.body());
+            assertThat(body.getString("outcome"), is("not-run"));
+            assertThat(body.getJsonObject("error").getString("type"), is(type));
+            assertThat(answer.headers().firstValue("Hyssopturn-Outcome").orElse(""), is("not-run"));
+        }
+    }
+
+    @Nested
+    class Shutdown {
         @Test
-        void neverReachesAnEndpoint() throws Exception {
-            HttpResponse<String> malformed =
-                    post(nodes.get(0), "/v1/chat/completions", "", "{\"model\":");
-            assertThat(malformed.statusCode(), is(400));
-            assertThat(
-                    malformed.headers().firstValue("Hyssopturn-Outcome").orElse(""), is("not-run"));
+        void finishesTheStreamInProgressAndRefusesNewWork() throws Exception {
+            Running node = processes.start("node", platform, "--id=node-leaving");
+            awaitReady(node.address());
+            String body =
+                    "{\"model\":\"adopter-letter\",\"stream\":true,\"max_tokens\":90,"
+                            + "\"messages\":[{\"content\":\"a long letter\"}]}";
+            HttpRequest request =
+                    HttpRequest.newBuilder(
+                                    URI.create("http://" + node.address() + "/v1/chat/completions"))
+                            .header("Authorization", "Bearer " + TOKEN)
+                            .POST(HttpRequest.BodyPublishers.ofString(body))
+                            .build();
+            HttpResponse<Stream<String>> answer = HTTP.send(request, BodyHandlers.ofLines());
+            Iterator<String> lines = answer.body().iterator();
+            StringBuilder events = new StringBuilder(lines.next()).append('\n');
+            Processes.signal(node.process(), "TERM");
+            while (lines.hasNext()) {
+                events.append(lines.next()).append('\n');
+            }
+            assertThat(events.toString(), containsString("\"outcome\":\"done\""));
+            assertThat(node.process().waitFor(20, TimeUnit.SECONDS), is(true));
         }
     }
 }
