Placement under the lease, with serving versions that leave no gap

Nothing ordered engines. A pure planner gives engines to the range that needs them most, a transition chooses the orders that may be given now within the weight store's rate, and the lease holder orders with its term, reads back and corrects. Requests stay on the version that is held whole until the published one is.

--- a/src/main/java/hyssopturn/node/Node.java
+++ b/src/main/java/hyssopturn/node/Node.java
@@ -5,6 +5,7 @@
 import hyssopturn.admit.OpenAdmission;
 import hyssopturn.config.ConfigController;
 import hyssopturn.config.Seal;
+import hyssopturn.config.Snapshotter;
 import hyssopturn.event.Detail;
 import hyssopturn.event.EventRing;
 import hyssopturn.event.HybridClock;
@@ -19,6 +20,8 @@
 import hyssopturn.filter.LedgerFilter;
 import hyssopturn.filter.OutcomeFilter;
 import hyssopturn.filter.RunFilter;
+import hyssopturn.lease.LeaseController;
+import hyssopturn.lease.LeaseTiming;
 import hyssopturn.ledger.Ledger;
 import hyssopturn.ledger.LedgerSettings;
 import hyssopturn.ledger.LogLedger;
@@ -28,6 +31,11 @@
 import hyssopturn.model.AnswerEvent;
 import hyssopturn.model.Config;
 import hyssopturn.model.RequestId;
+import hyssopturn.model.Work;
+import hyssopturn.place.DemandMeter;
+import hyssopturn.place.Links;
+import hyssopturn.place.PlacementController;
+import hyssopturn.place.ServingVersions;
 import hyssopturn.port.Instance;
 import hyssopturn.route.RoundRobinChooser;
 import hyssopturn.run.Answers;
@@ -40,6 +48,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 
 /** One entry instance: controllers that keep its state and filters that handle requests. */
@@ -51,6 +60,11 @@
     private final MeterRegistry meters;
     private final EventRing events;
     private final ConfigController config;
+    private final LeaseController lease;
+    private final Snapshotter snapshotter;
+    private final PlacementController placement;
+    private final DemandMeter demand;
+    private final ServingVersions versions = new ServingVersions();
     private final Directory directory;
     private final LogLedger ledger;
     private final Answers answers;
@@ -95,9 +109,46 @@
                         ports.random());
         answers = new Answers(ports.clock(), settings.answerKeep(), settings.answerBytes());
         attainment = new Attainment(meters);
+        demand = new DemandMeter(ports.clock());
+        lease = lease();
+        snapshotter =
+                new Snapshotter(
+                        config,
+                        ports.log(),
+                        ports.clock(),
+                        () -> lease.term().isPresent(),
+                        settings.logRetention(),
+                        meters);
+        placement = placement();
         filters = filters(settings);
     }
 
+    private LeaseController lease() {
+        return new LeaseController(
+                self.id(),
+                ports.log(),
+                ports.clock(),
+                new SplittableRandom(ports.random().nextLong()),
+                LeaseTiming.STANDARD,
+                held -> events.record(new Detail.NodeState(held ? "lease-taken" : "lease-lost")),
+                meters);
+    }
+
+    private PlacementController placement() {
+        return new PlacementController(
+                new PlacementController.Outside(
+                        config::current,
+                        directory::view,
+                        ports.engines(),
+                        ports.weights(),
+                        ports.clock()),
+                lease,
+                LeaseTiming.STANDARD,
+                demand,
+                Links.BY_DISTANCE,
+                meters);
+    }
+
     private FilterChain filters(NodeSettings settings) {
         return new FilterChain(
                 List.of(
@@ -127,6 +178,9 @@
         config.start();
         directory.start();
         ledger.start();
+        lease.start();
+        snapshotter.start();
+        placement.start();
         announce();
         state("started");
     }
@@ -151,7 +205,11 @@
      */
     public RequestId submit(Exchange.Call call) {
         RequestId request = new RequestId(uniqueName());
-        Exchange exchange = new Exchange(request, call, config.current(), ports.clock().nanos());
+        Config serving = versions.choose(config.current(), directory.view());
+        Exchange exchange = new Exchange(request, call, serving, ports.clock().nanos());
+        serving.workClass(call.workClass())
+                .filter(c -> c.work() instanceof Work.Generate)
+                .ifPresent(c -> demand.count(((Work.Generate) c.work()).model()));
         answers.start(request, Multi.createFrom().deferred(() -> filters.handle(exchange)));
         return request;
     }
@@ -203,10 +261,17 @@
         return drain.drain().thenCompose(idle -> ledger.flush());
     }
 
+    private void stopDuties() {
+        placement.stop();
+        snapshotter.stop();
+        lease.stop();
+    }
+
     /** Stops the controllers at once. */
     public void stop() {
         stopped = true;
         config.stop();
+        stopDuties();
         directory.stop();
         ledger.stop();
         state("stopped");
