Measure what a node adds to a token

Cause: the issue asks for under 1 ms a token over the stand-ins' own time. Change: slopes streams through a node and drives the same stages without one, in turn in one run.

--- a/src/main/java/hyssopturn/bench/LoopbackPath.java
+++ b/src/main/java/hyssopturn/bench/LoopbackPath.java
@@ -7,16 +7,23 @@
 import hyssopturn.front.HttpFront;
 import hyssopturn.model.AccountId;
 import hyssopturn.model.Address;
+import hyssopturn.model.Bytes;
 import hyssopturn.model.InstanceId;
 import hyssopturn.model.LayerRange;
 import hyssopturn.model.ModelId;
+import hyssopturn.model.RequestId;
 import hyssopturn.model.Zone;
 import hyssopturn.node.Node;
 import hyssopturn.node.NodeSettings;
 import hyssopturn.node.Ports;
 import hyssopturn.node.SystemClock;
+import hyssopturn.port.EngineClient;
+import hyssopturn.port.EngineClient.Dial;
+import hyssopturn.port.EngineClient.Step;
+import hyssopturn.port.EngineClient.StepResult;
 import hyssopturn.port.Instance;
 import hyssopturn.standin.EngineProfile;
+import hyssopturn.standin.ReferenceModel;
 import hyssopturn.standin.StandinHost;
 import hyssopturn.wire.HttpCaller;
 import hyssopturn.wire.HttpEngines;
@@ -29,12 +36,18 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import io.vertx.ext.web.client.HttpResponse;
 import io.vertx.ext.web.client.WebClient;
 
+import org.HdrHistogram.Histogram;
+
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -48,9 +61,11 @@
     private static final String HOST = "127.0.0.1";
     private static final int LAYERS_PER_STAGE = 4;
     private static final int TIMER_THREADS = 1;
+    private static final int DIGITS = 3;
     private static final int READY_PAUSE_MILLIS = 20;
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
     private static final Zone ZONE = new Zone("local", "a");
+    private static final ModelId MODEL = new ModelId("m", "1");
     private static final EngineProfile INSTANT =
             new EngineProfile(
                     "fast",
@@ -62,11 +77,14 @@
                     Duration.ZERO,
                     Duration.ZERO);
 
+    private final List<Address> engines = new ArrayList<>();
     private final Vertx outside = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(4));
     private final Vertx inside = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final StandinHost standins = new StandinHost(outside);
     private final SystemClock clock = new SystemClock(TIMER_THREADS);
     private final HttpCaller caller = new HttpCaller(inside, TIMEOUT, TIMEOUT);
+    private final HttpCaller outsideCaller = new HttpCaller(outside, TIMEOUT, TIMEOUT);
+    private final HttpClient streams = outside.createHttpClient();
     private final WebClient client = WebClient.create(outside);
     private final Node node;
     private final HttpServer server;
@@ -80,8 +98,7 @@
         for (int stage = 0; stage < stages; stage++) {
             int from = stage * LAYERS_PER_STAGE;
             LayerRange range = new LayerRange(from, from + LAYERS_PER_STAGE);
-            standins.engine(
-                    "e" + stage, ZONE, HOST, 0, INSTANT, new ModelId("m", "1"), range, layers);
+            engines.add(standins.engine("e" + stage, ZONE, HOST, 0, INSTANT, MODEL, range, layers));
         }
         HttpPlatform adapter = new HttpPlatform(caller, platform, TIMEOUT);
         adapter.append(
@@ -174,6 +191,63 @@
         return new Cost(Usage.cpuMicros(threads) - before, came);
     }
 
+    /** Streams one answer through the node; times the gap before each token after the first. */
+    Histogram through(int tokens) {
+        Histogram gaps = new Histogram(DIGITS);
+        long[] previous = {0};
+        HttpClientResponse response =
+                streams.request(
+                                new RequestOptions()
+                                        .setMethod(HttpMethod.POST)
+                                        .setHost(HOST)
+                                        .setPort(server.actualPort())
+                                        .setURI("/v1/chat/completions")
+                                        .putHeader("Authorization", "Bearer " + token))
+                        .compose(request -> request.send(body("how is Bella", tokens).toBuffer()))
+                        .map(
+                                answer ->
+                                        answer.handler(
+                                                part -> {
+                                                    long now = System.nanoTime();
+                                                    if (previous[0] > 0) {
+                                                        gaps.recordValue(now - previous[0]);
+                                                    }
+                                                    previous[0] = now;
+                                                }))
+                        .await();
+        response.end().await();
+        return gaps;
+    }
+
+    /** Drives tokens through the engines without a node; times each token after the first. */
+    Histogram direct(int tokens) {
+        Histogram times = new Histogram(DIGITS);
+        EngineClient client = new HttpEngines(outsideCaller);
+        RequestId request = new RequestId("direct");
+        Bytes input = ReferenceModel.pack(1, 2, 3);
+        int position = 0;
+        int count = 3;
+        for (int i = 0; i < tokens; i++) {
+            long start = System.nanoTime();
+            StepResult result = null;
+            Bytes activation = input;
+            for (int stage = 0; stage < engines.size(); stage++) {
+                int from = stage * LAYERS_PER_STAGE;
+                LayerRange range = new LayerRange(from, from + LAYERS_PER_STAGE);
+                Step step = new Step(request, 1, MODEL, range, position, count, activation, 0, 0);
+                result = client.step(engines.get(stage), step, Dial.POOLED).join();
+                activation = result.output();
+            }
+            if (i > 0) {
+                times.recordValue(System.nanoTime() - start);
+            }
+            position += count;
+            count = 1;
+            input = ReferenceModel.pack(result.token().orElseThrow().id());
+        }
+        return times;
+    }
+
     private static long tokens(HttpResponse<Buffer> answer) {
         String events = answer.bodyAsString();
         if (!events.contains("\"outcome\":\"done\"")) {
@@ -184,17 +258,17 @@
     }
 
     private Future<HttpResponse<Buffer>> post(String prompt, int tokens) {
-        JsonObject body =
-                new JsonObject()
-                        .put("model", "letter")
-                        .put("stream", true)
-                        .put("max_tokens", tokens)
-                        .put(
-                                "messages",
-                                new JsonArray().add(new JsonObject().put("content", prompt)));
         return client.post(server.actualPort(), HOST, "/v1/chat/completions")
                 .bearerTokenAuthentication(token)
-                .sendJsonObject(body);
+                .sendJsonObject(body(prompt, tokens));
+    }
+
+    private static JsonObject body(String prompt, int tokens) {
+        return new JsonObject()
+                .put("model", "letter")
+                .put("stream", true)
+                .put("max_tokens", tokens)
+                .put("messages", new JsonArray().add(new JsonObject().put("content", prompt)));
     }
 
     @Override
@@ -202,6 +276,7 @@
         node.stop();
         server.close().await();
         caller.close();
+        outsideCaller.close();
         clock.close();
         standins.close();
         client.close();
--- a/src/main/java/hyssopturn/cli/SlopesCommand.java
+++ b/src/main/java/hyssopturn/cli/SlopesCommand.java
@@ -1,5 +1,6 @@
 package hyssopturn.cli;
 
+import hyssopturn.bench.PathLatency;
 import hyssopturn.bench.Slopes;
 
 import picocli.CommandLine.Command;
@@ -18,6 +19,7 @@
 
     @Override
     public Integer call() {
+        spec.commandLine().getOut().println(PathLatency.measure());
         spec.commandLine().getOut().print(Slopes.table());
         spec.commandLine().getOut().flush();
         return ExitCodes.OK;
