Recover streams: pure run machine, chains by predicted cost, stateful fuzzing

A dead or silent stage ended the stream. A pure state machine now drives each run and recovers over a new connection, by replacing the lost layers from kept activations, by moving cached state or by a new chain.

--- a/src/main/java/hyssopturn/route/ChainChooser.java
+++ b/src/main/java/hyssopturn/route/ChainChooser.java
@@ -2,6 +2,7 @@
 
 import hyssopturn.member.View;
 import hyssopturn.model.ModelSpec;
+import hyssopturn.model.Target;
 
 import java.util.Optional;
 
@@ -23,6 +24,7 @@
      * @param model the model
      * @param promptTokens number of tokens of the prompt
      * @param prefix hash of the prompt's prefix
+     * @param target target of the class
      */
-    record Query(ModelSpec model, int promptTokens, long prefix) {}
+    record Query(ModelSpec model, int promptTokens, long prefix, Target target) {}
 }
--- /dev/null
+++ b/src/main/java/hyssopturn/run/ActivationBudget.java
@@ -0,0 +1,43 @@
+package hyssopturn.run;
+
+import hyssopturn.helper.Check;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Bytes that all runs of a node may spend on activations kept for replay. */
+public final class ActivationBudget {
+    private final long bytes;
+    private final AtomicLong used = new AtomicLong();
+
+    /**
+     * Creates a budget of which nothing is used.
+     *
+     * @param bytes size of the budget in bytes
+     */
+    public ActivationBudget(long bytes) {
+        Check.that(bytes >= 0, "budget must not be negative");
+        this.bytes = bytes;
+    }
+
+    boolean reserve(long size) {
+        long before = used.getAndAdd(size);
+        if (before + size <= bytes) {
+            return true;
+        }
+        used.addAndGet(-size);
+        return false;
+    }
+
+    void release(long size) {
+        used.addAndGet(-size);
+    }
+
+    /**
+     * Returns how much is in use.
+     *
+     * @return bytes reserved
+     */
+    public long used() {
+        return used.get();
+    }
+}
--- a/src/main/java/hyssopturn/run/NaiveDriver.java
+++ b/src/main/java/hyssopturn/run/NaiveDriver.java
@@ -56,7 +56,10 @@
     private void start(Generation generation, MultiEmitter<? super AnswerEvent> emitter) {
         ChainChooser.Query query =
                 new ChainChooser.Query(
-                        generation.model(), generation.prompt().size(), generation.prefix());
+                        generation.model(),
+                        generation.prompt().size(),
+                        generation.prefix(),
+                        generation.workClass().target());
         Optional<Chain> chain = chooser.choose(query, view.get());
         if (chain.isEmpty()) {
             String message = "no engines hold all layers of " + generation.model().id();
--- /dev/null
+++ b/src/test/java/hyssopturn/run/StreamFuzzTest.java
@@ -0,0 +1,266 @@
+package hyssopturn.run;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.fail;
+
+import hyssopturn.model.AnswerEvent;
+import hyssopturn.port.EngineClient.Step;
+import hyssopturn.port.Instance;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.UnaryOperator;
+
+/**
+ * Plays random requests and faults; the oracle sees journals and answers only.
+ *
+ * <p>A longer run: {@code mvn -o -B test -Dtest=StreamFuzzTest -Djqwik.tries.default=20000}.
+ */
+class StreamFuzzTest {
+    private static final int STORY_SIZE = 40;
+    private static final int MUTANT_SEEDS = 60;
+    private static final int REPLAY_ODDS = 4;
+
+    @Property(seed = "41")
+    void everyAnswerIsWholeWhileSomeEngineIsWell(
+            @ForAll long seed, @ForAll("stories") List<Story.Op> ops) {
+        Story.play(seed, ops, true, new Noise(seed));
+    }
+
+    @Property(seed = "42")
+    void everyAnswerIsTrueWhenAllEnginesMayFail(
+            @ForAll long seed, @ForAll("stories") List<Story.Op> ops) {
+        Story.play(seed, ops, false, new Noise(seed));
+    }
+
+    @Test
+    void doubledAnswerIsIgnoredWhileTheNextStageWaitsForAnEngine() {
+        Story.play(2066, Story.random(2066, STORY_SIZE), false, UnaryOperator.identity());
+    }
+
+    @Provide
+    Arbitrary<List<Story.Op>> stories() {
+        Arbitrary<Story.Op> op =
+                Combinators.combine(
+                                Arbitraries.of(Story.Kind.class),
+                                Arbitraries.integers().between(0, 999),
+                                Arbitraries.integers().between(0, 120))
+                        .as(Story.Op::new);
+        return op.list().ofMinSize(4).ofMaxSize(STORY_SIZE);
+    }
+
+    /** Delivers answers again, late, out of order and to other runs. */
+    private static final class Noise implements UnaryOperator<RunMachine> {
+        private final List<RunEvent.Answered> seen = new ArrayList<>();
+        private final SplittableRandom random;
+
+        Noise(long seed) {
+            random = new SplittableRandom(seed);
+        }
+
+        @Override
+        public RunMachine apply(RunMachine machine) {
+            return (event, now) -> {
+                List<RunAction> actions = new ArrayList<>(machine.on(event, now));
+                if (event instanceof RunEvent.Answered answered) {
+                    seen.add(answered);
+                }
+                if (!seen.isEmpty() && random.nextInt(REPLAY_ODDS) == 0) {
+                    RunEvent again = seen.get(random.nextInt(seen.size()));
+                    actions.addAll(machine.on(again, now));
+                }
+                return actions;
+            };
+        }
+    }
+
+    @Nested
+    class Mutant {
+        private static void assertCaught(UnaryOperator<RunMachine> mutant) {
+            for (int seed = 0; seed < MUTANT_SEEDS; seed++) {
+                try {
+                    Story.play(seed, Story.random(seed, STORY_SIZE), true, mutant);
+                } catch (AssertionError e) {
+                    return;
+                }
+            }
+            fail("the oracle did not notice");
+        }
+
+        @Test
+        void noneIsNoticedWithoutMutation() {
+            for (int seed = 0; seed < MUTANT_SEEDS; seed++) {
+                Town town =
+                        Story.play(
+                                seed,
+                                Story.random(seed, STORY_SIZE),
+                                true,
+                                UnaryOperator.identity());
+                assertThat(town.open(), is(0));
+            }
+        }
+
+        @Test
+        void wrongLayerOrderIsCaught() {
+            assertCaught(StagesSwapped::new);
+        }
+
+        @Test
+        void ignoredAttemptNumberIsCaught() {
+            assertCaught(AttemptIgnored::new);
+        }
+
+        @Test
+        void skippedTokenIsCaught() {
+            assertCaught(TokenSkipped::new);
+        }
+
+        @Test
+        void answerToTheWrongStreamIsCaught() {
+            String[] shared = {""};
+            assertCaught(machine -> new WrongStream(machine, shared));
+        }
+
+        @Test
+        void missingEndIsCaught() {
+            assertCaught(
+                    machine ->
+                            (event, now) -> {
+                                List<RunAction> actions = new ArrayList<>(machine.on(event, now));
+                                actions.removeIf(
+                                        a -> a instanceof RunAction.Emit(AnswerEvent.End end));
+                                return actions;
+                            });
+        }
+    }
+
+    private static List<RunAction> mapped(
+            List<RunAction> actions, UnaryOperator<RunAction> change) {
+        return new ArrayList<>(actions.stream().map(change).toList());
+    }
+
+    /** Sends the first two stages' steps to each other's engines once both are known. */
+    private record StagesSwapped(RunMachine machine, Map<Integer, RunAction.Send> known)
+            implements RunMachine {
+        StagesSwapped(RunMachine machine) {
+            this(machine, new HashMap<>());
+        }
+
+        @Override
+        public List<RunAction> on(RunEvent event, long now) {
+            return mapped(machine.on(event, now), this::swapped);
+        }
+
+        private RunAction swapped(RunAction action) {
+            if (!(action instanceof RunAction.Send send) || send.call().stage() > 1) {
+                return action;
+            }
+            if (send.call().count() > 1) {
+                known.put(send.call().stage(), send);
+                return action;
+            }
+            RunAction.Send other = known.get(1 - send.call().stage());
+            return other == null ? send : sentTo(other.engine(), send, other.step());
+        }
+
+        private static RunAction.Send sentTo(Instance engine, RunAction.Send send, Step like) {
+            Step step = send.step();
+            return new RunAction.Send(
+                    send.call(),
+                    engine,
+                    new Step(
+                            step.request(),
+                            step.attempt(),
+                            step.model(),
+                            like.layers(),
+                            step.position(),
+                            step.count(),
+                            step.input(),
+                            step.prefix(),
+                            0),
+                    send.dial());
+        }
+    }
+
+    /** Takes any answer for the one that is awaited. */
+    private static final class AttemptIgnored implements RunMachine {
+        private final RunMachine machine;
+        private StepCall latest;
+
+        AttemptIgnored(RunMachine machine) {
+            this.machine = machine;
+        }
+
+        @Override
+        public List<RunAction> on(RunEvent event, long now) {
+            List<RunAction> actions = machine.on(renamed(event), now);
+            for (RunAction action : actions) {
+                if (action instanceof RunAction.Send send) {
+                    latest = send.call();
+                }
+            }
+            return actions;
+        }
+
+        private RunEvent renamed(RunEvent event) {
+            return event instanceof RunEvent.Answered(StepCall call, var result)
+                            && latest != null
+                            && call.attempt() != latest.attempt()
+                            && call.position() == latest.position()
+                    ? new RunEvent.Answered(latest, result)
+                    : event;
+        }
+    }
+
+    /** Skips the third token and closes the gap in the numbers. */
+    private record TokenSkipped(RunMachine machine) implements RunMachine {
+        private static final int SKIPPED = 2;
+
+        @Override
+        public List<RunAction> on(RunEvent event, long now) {
+            List<RunAction> actions = mapped(machine.on(event, now), TokenSkipped::renumbered);
+            actions.removeIf(
+                    a -> a instanceof RunAction.Emit(AnswerEvent.Token token) && token.index() < 0);
+            return actions;
+        }
+
+        private static RunAction renumbered(RunAction action) {
+            if (!(action instanceof RunAction.Emit(AnswerEvent.Token(int index, String text)))) {
+                return action;
+            }
+            int shown = index == SKIPPED ? -1 : index < SKIPPED ? index : index - 1;
+            return new RunAction.Emit(new AnswerEvent.Token(shown, text));
+        }
+    }
+
+    /** Gives each caller the token made last for any caller. */
+    private record WrongStream(RunMachine machine, String[] last) implements RunMachine {
+        @Override
+        public List<RunAction> on(RunEvent event, long now) {
+            return mapped(machine.on(event, now), this::swapped);
+        }
+
+        private RunAction swapped(RunAction action) {
+            if (!(action instanceof RunAction.Emit(AnswerEvent.Token(int index, String text)))) {
+                return action;
+            }
+            String given = last[0].isEmpty() ? text : last[0];
+            last[0] = text;
+            return new RunAction.Emit(new AnswerEvent.Token(index, given));
+        }
+    }
+}
