Wire recovery in: driver in the node, new connections, answers without readers

A run kept its engines busy after its caller had gone, a new connection was not new for certain and a shared random source was used by several threads. Pools stand per receiver and are given up as a whole, a generation that nobody reads for the grace is cancelled, and the random source is safe for threads.

--- a/src/main/java/hyssopturn/cli/Daemon.java
+++ b/src/main/java/hyssopturn/cli/Daemon.java
@@ -23,8 +23,8 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.ServerSocket;
+import java.security.SecureRandom;
 import java.time.Duration;
-import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
 /** A node with its adapters and servers, running in this process. */
@@ -63,7 +63,7 @@
                         new HttpEngines(caller),
                         new HttpServices(caller, network.serviceTimeout()),
                         clock,
-                        new SplittableRandom());
+                        new SecureRandom());
         int port = network.port() == 0 ? freePort(network.host()) : network.port();
         int peerPort = network.peerPort() == 0 ? freePort(network.host()) : network.peerPort();
         Instance self =
--- a/src/main/java/hyssopturn/cli/NodeCommand.java
+++ b/src/main/java/hyssopturn/cli/NodeCommand.java
@@ -80,6 +80,9 @@
                 settings.get(Options.LOG_APPENDS),
                 settings.get(Options.ANSWER_KEEP),
                 settings.get(Options.ANSWER_BYTES),
+                settings.get(Options.CALLER_GRACE),
+                settings.get(Options.STALL_PATIENCE),
+                settings.get(Options.ACTIVATION_BYTES),
                 settings.get(Options.EVENT_CAPACITY));
     }
 }
--- a/src/main/java/hyssopturn/cli/Options.java
+++ b/src/main/java/hyssopturn/cli/Options.java
@@ -120,6 +120,24 @@
                     new Kind.Size(KIB, GIB),
                     "32MiB",
                     "Greatest size of all answers kept");
+    static final Setting<Duration> CALLER_GRACE =
+            new Setting<>(
+                    "caller-grace",
+                    new Kind.Span(MILLI, DAY),
+                    "30s",
+                    "How long a generation goes on while nobody reads its answer");
+    static final Setting<Duration> STALL_PATIENCE =
+            new Setting<>(
+                    "stall-patience",
+                    new Kind.Span(MILLI, HOUR),
+                    "30s",
+                    "How long a generation that has begun may go without a token");
+    static final Setting<Long> ACTIVATION_BYTES =
+            new Setting<>(
+                    "activation-bytes",
+                    new Kind.Size(0, GIB),
+                    "32MiB",
+                    "Greatest size of all activations kept for replay");
     static final Setting<Integer> EVENT_CAPACITY =
             new Setting<>(
                     "event-capacity",
@@ -175,6 +193,9 @@
                     SERVICE_TIMEOUT,
                     ANSWER_KEEP,
                     ANSWER_BYTES,
+                    CALLER_GRACE,
+                    STALL_PATIENCE,
+                    ACTIVATION_BYTES,
                     EVENT_CAPACITY,
                     BODY_LIMIT,
                     HEADER_LIMIT,
--- a/src/main/java/hyssopturn/node/Node.java
+++ b/src/main/java/hyssopturn/node/Node.java
@@ -37,9 +37,14 @@
 import hyssopturn.place.PlacementController;
 import hyssopturn.place.ServingVersions;
 import hyssopturn.port.Instance;
-import hyssopturn.route.RoundRobinChooser;
+import hyssopturn.route.BestRoutes;
+import hyssopturn.route.ObservedCosts;
+import hyssopturn.run.ActivationBudget;
 import hyssopturn.run.Answers;
-import hyssopturn.run.NaiveDriver;
+import hyssopturn.run.Driver;
+import hyssopturn.run.Evidence;
+import hyssopturn.run.RecoveringDriver;
+import hyssopturn.run.RunSettings;
 import hyssopturn.run.ServiceDriver;
 
 import io.micrometer.core.instrument.MeterRegistry;
@@ -107,7 +112,12 @@
                         ports.log(),
                         ports.clock(),
                         ports.random());
-        answers = new Answers(ports.clock(), settings.answerKeep(), settings.answerBytes());
+        answers =
+                new Answers(
+                        ports.clock(),
+                        settings.answerKeep(),
+                        settings.answerBytes(),
+                        settings.callerGrace());
         attainment = new Attainment(meters);
         demand = new DemandMeter(ports.clock());
         lease = lease();
@@ -160,11 +170,7 @@
                         new LedgerFilter(ledger, ports.clock(), events),
                         new AdmitFilter(new OpenAdmission(), ports.clock()),
                         new RunFilter(
-                                new NaiveDriver(
-                                        ports.engines(),
-                                        new RoundRobinChooser(),
-                                        directory::view,
-                                        events),
+                                driver(settings),
                                 new ServiceDriver(
                                         ports.services(),
                                         directory::view,
@@ -172,6 +178,38 @@
                                         events))));
     }
 
+    private Driver driver(NodeSettings settings) {
+        ObservedCosts costs = new ObservedCosts(ports.clock());
+        RecoveringDriver.Parts parts =
+                new RecoveringDriver.Parts(
+                        ports.engines(),
+                        new BestRoutes(costs, ports.clock(), ports.random()),
+                        costs,
+                        directory::view,
+                        evidence(),
+                        ports.clock(),
+                        events,
+                        meters);
+        return new RecoveringDriver(
+                parts,
+                new ActivationBudget(settings.activationBytes()),
+                RunSettings.usual(settings.stallPatience()));
+    }
+
+    private Evidence evidence() {
+        return new Evidence() {
+            @Override
+            public void unreachable(Instance endpoint) {
+                directory.suspect(endpoint.id(), endpoint.incarnation());
+            }
+
+            @Override
+            public void leaving(Instance endpoint) {
+                directory.leaving(endpoint.id(), endpoint.incarnation());
+            }
+        };
+    }
+
     /** Starts the controllers. */
     public void start() {
         config.listen(c -> events.record(new Detail.ConfigInForce(c.version())));
@@ -210,7 +248,8 @@
         serving.workClass(call.workClass())
                 .filter(c -> c.work() instanceof Work.Generate)
                 .ifPresent(c -> demand.count(((Work.Generate) c.work()).model()));
-        answers.start(request, Multi.createFrom().deferred(() -> filters.handle(exchange)));
+        Multi<AnswerEvent> run = Multi.createFrom().deferred(() -> filters.handle(exchange));
+        answers.start(request, run, call.input() instanceof Exchange.Input.Text);
         return request;
     }
 
--- a/src/main/java/hyssopturn/node/NodeSettings.java
+++ b/src/main/java/hyssopturn/node/NodeSettings.java
@@ -16,6 +16,9 @@
  * @param logAppends appends a second that the ledgers of all nodes may take together
  * @param answerKeep how long a finished answer is kept
  * @param answerBytes greatest size of all answers kept, in bytes
+ * @param callerGrace how long a generation goes on while nobody reads its answer
+ * @param stallPatience how long a generation that has begun may go without a token
+ * @param activationBytes greatest size of all activations kept for replay, in bytes
  * @param eventCapacity number of events kept for the time line
  */
 public record NodeSettings(
@@ -28,6 +31,9 @@
         int logAppends,
         Duration answerKeep,
         long answerBytes,
+        Duration callerGrace,
+        Duration stallPatience,
+        long activationBytes,
         int eventCapacity) {
 
     /**
@@ -47,6 +53,9 @@
                 300,
                 Duration.ofMinutes(5),
                 64L << 20,
+                Duration.ofSeconds(30),
+                Duration.ofSeconds(30),
+                32L << 20,
                 10_000);
     }
 }
--- a/src/main/java/hyssopturn/route/LayeredGraph.java
+++ b/src/main/java/hyssopturn/route/LayeredGraph.java
@@ -9,7 +9,6 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -241,7 +240,7 @@
     }
 
     private List<Leg> walkBack(Hop[] last) {
-        LinkedList<Leg> legs = new LinkedList<>();
+        List<Leg> legs = new ArrayList<>();
         int at = cuts.length - 1;
         while (at > 0) {
             Hop hop = last[at];
--- a/src/main/java/hyssopturn/run/RecoveringDriver.java
+++ b/src/main/java/hyssopturn/run/RecoveringDriver.java
@@ -41,6 +41,7 @@
      * @param routes chooses chains and replacements
      * @param costs learns what steps cost
      * @param view engines that may be chosen
+     * @param evidence takes in what steps show of engines
      * @param clock time
      * @param events records attempts and failures
      * @param meters counts recoveries
@@ -50,6 +51,7 @@
             Routes routes,
             EngineCosts costs,
             Supplier<View> view,
+            Evidence evidence,
             Clock clock,
             EventRing events,
             MeterRegistry meters) {}
@@ -128,6 +130,8 @@
                 case RunAction.Arm(long number, Duration delay) -> arm(number, delay);
                 case RunAction.Learn learn -> learn(learn);
                 case RunAction.Suspect(var engine) -> parts.costs.suspected(engine);
+                case RunAction.Unreachable(Instance engine) -> parts.evidence.unreachable(engine);
+                case RunAction.Leaving(Instance engine) -> parts.evidence.leaving(engine);
                 case RunAction.Note(var detail) -> parts.events.record(request, detail);
                 case RunAction.Count(Recovery recovery, long again) -> count(recovery, again);
             }
--- a/src/main/java/hyssopturn/run/RunAction.java
+++ b/src/main/java/hyssopturn/run/RunAction.java
@@ -72,6 +72,20 @@
      */
     record Suspect(InstanceId engine) implements RunAction {}
 
+    /**
+     * Tells others that an engine takes no connections.
+     *
+     * @param engine the engine
+     */
+    record Unreachable(Instance engine) implements RunAction {}
+
+    /**
+     * Tells others that an engine is leaving.
+     *
+     * @param engine the engine
+     */
+    record Leaving(Instance engine) implements RunAction {}
+
     /**
      * Records an event for the time line.
      *
--- a/src/main/java/hyssopturn/run/StreamRun.java
+++ b/src/main/java/hyssopturn/run/StreamRun.java
@@ -323,8 +323,15 @@
 
     private void refused(RefusedException cause, long now) {
         switch (cause.reason()) {
-            case UNREACHABLE -> suspect(now);
-            case DRAINING, OVERLOADED -> recoverWithout(lineage.current().engine(), now);
+            case UNREACHABLE -> {
+                actions.add(new RunAction.Unreachable(lineage.current().stage().engine()));
+                suspect(now);
+            }
+            case DRAINING -> {
+                actions.add(new RunAction.Leaving(lineage.current().stage().engine()));
+                recoverWithout(lineage.current().engine(), now);
+            }
+            case OVERLOADED -> recoverWithout(lineage.current().engine(), now);
             case NOT_HELD, STALE -> lost(now);
             case INVALID -> finish(refusedAsInvalid(cause));
         }
--- a/src/main/java/hyssopturn/wire/HttpCaller.java
+++ b/src/main/java/hyssopturn/wire/HttpCaller.java
@@ -16,7 +16,6 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
-import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
@@ -26,12 +25,10 @@
 
 /** Calls over HTTP whose failures say whether the call may have taken effect. */
 public final class HttpCaller implements AutoCloseable {
-    private static final int POOL_PER_HOST = 256;
     private static final int OK_LOW = 200;
     private static final int OK_HIGH = 299;
 
-    private final HttpClient pooled;
-    private final HttpClient fresh;
+    private final ConnectionPools pools;
     private final Duration timeout;
 
     /**
@@ -46,10 +43,8 @@
                 new HttpClientOptions()
                         .setConnectTimeout((int) connectTimeout.toMillis())
                         .setTcpNoDelay(true)
-                        .setKeepAlive(true);
-        PoolOptions pool = new PoolOptions().setHttp1MaxSize(POOL_PER_HOST);
-        pooled = vertx.createHttpClient(options, pool);
-        fresh = vertx.createHttpClient(new HttpClientOptions(options).setKeepAlive(false), pool);
+                        .setTcpKeepAlive(true);
+        pools = new ConnectionPools(vertx, options, timeout, System::nanoTime);
         this.timeout = timeout;
     }
 
@@ -65,8 +60,24 @@
      */
     public CompletableFuture<JsonObject> json(
             HttpMethod method, Address to, String path, JsonObject body, Dial dial) {
+        return json(method, to, path, body, timeout, dial);
+    }
+
+    /**
+     * Calls with a JSON body and reads a JSON answer, within a time of its own.
+     *
+     * @param method HTTP method
+     * @param to receiver
+     * @param path path and query
+     * @param body body, empty for none
+     * @param wait greatest time that the call may be idle
+     * @param dial which connection to use
+     * @return the answer; fails with a {@link PortException}
+     */
+    public CompletableFuture<JsonObject> json(
+            HttpMethod method, Address to, String path, JsonObject body, Duration wait, Dial dial) {
         Buffer bytes = body.isEmpty() ? Buffer.buffer() : body.toBuffer();
-        return call(method, to, path, bytes, timeout, dial).thenApply(HttpCaller::parse);
+        return call(method, to, path, bytes, wait, dial).thenApply(HttpCaller::parse);
     }
 
     /**
@@ -89,22 +100,38 @@
                         .setPort(to.port())
                         .setURI(path)
                         .setIdleTimeout(wait.toMillis());
-        HttpClient client = dial == Dial.FRESH ? fresh : pooled;
         CompletableFuture<Buffer> answer = new CompletableFuture<>();
+        HttpClient client = client(to, dial);
         client.request(options)
                 .onFailure(e -> answer.completeExceptionally(unreachable(to, e)))
                 .onSuccess(request -> send(to, request, body, answer));
         return answer;
     }
 
-    private static void send(
+    private HttpClient client(Address to, Dial dial) {
+        if (dial == Dial.POOLED) {
+            return pools.pooled(to);
+        }
+        pools.suspect(to);
+        return pools.fresh();
+    }
+
+    private void send(
             Address to, HttpClientRequest request, Buffer body, CompletableFuture<Buffer> answer) {
         request.send(body)
                 .compose(HttpCaller::whole)
-                .onFailure(e -> answer.completeExceptionally(failure(to, e)))
+                .onFailure(e -> answer.completeExceptionally(broke(to, e)))
                 .onSuccess(answer::complete);
     }
 
+    /** A call that got no answer makes all pooled connections to its receiver suspect. */
+    private PortException broke(Address to, Throwable cause) {
+        if (!(cause instanceof PortException)) {
+            pools.suspect(to);
+        }
+        return failure(to, cause);
+    }
+
     private static Future<Buffer> whole(HttpClientResponse response) {
         int status = response.statusCode();
         return response.body()
@@ -151,7 +178,6 @@
 
     @Override
     public void close() {
-        pooled.close();
-        fresh.close();
+        pools.close();
     }
 }
--- a/src/main/java/hyssopturn/wire/HttpEngines.java
+++ b/src/main/java/hyssopturn/wire/HttpEngines.java
@@ -4,16 +4,23 @@
 import hyssopturn.model.LayerRange;
 import hyssopturn.model.RequestId;
 import hyssopturn.port.EngineClient;
+import hyssopturn.port.InDoubtException;
 
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonObject;
 
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.Function;
 
 /** Model engines over HTTP. */
 public final class HttpEngines implements EngineClient {
     private static final JsonObject NO_BODY = new JsonObject();
 
+    /** Greatest time that a short call may be idle. */
+    private static final Duration SHORT = Duration.ofSeconds(2);
+
     private final HttpCaller caller;
 
     /**
@@ -34,7 +41,7 @@
     @Override
     public CompletableFuture<Void> cancel(Address engine, RequestId request, int attempt) {
         String path = "/v1/runs/" + request + "?attempt=" + attempt;
-        return caller.json(HttpMethod.DELETE, engine, path, NO_BODY, Dial.POOLED)
+        return twice(dial -> caller.json(HttpMethod.DELETE, engine, path, NO_BODY, SHORT, dial))
                 .thenApply(json -> null);
     }
 
@@ -55,13 +62,32 @@
 
     @Override
     public CompletableFuture<EngineReport> report(Address engine) {
-        return caller.json(HttpMethod.GET, engine, "/v1/report", NO_BODY, Dial.POOLED)
+        return twice(
+                        dial ->
+                                caller.json(
+                                        HttpMethod.GET, engine, "/v1/report", NO_BODY, SHORT, dial))
                 .thenApply(Codec::report);
     }
 
     @Override
     public CompletableFuture<Void> order(Address engine, Order order) {
-        return caller.json(HttpMethod.PUT, engine, "/v1/order", Codec.order(order), Dial.POOLED)
+        JsonObject body = Codec.order(order);
+        return twice(dial -> caller.json(HttpMethod.PUT, engine, "/v1/order", body, SHORT, dial))
                 .thenApply(json -> null);
     }
+
+    /** Repeats a call that may be repeated over a new connection if no answer came. */
+    private static CompletableFuture<JsonObject> twice(
+            Function<Dial, CompletableFuture<JsonObject>> call) {
+        return call.apply(Dial.POOLED)
+                .exceptionallyCompose(
+                        error ->
+                                cause(error) instanceof InDoubtException
+                                        ? call.apply(Dial.FRESH)
+                                        : CompletableFuture.failedFuture(error));
+    }
+
+    private static Throwable cause(Throwable error) {
+        return error instanceof CompletionException ? error.getCause() : error;
+    }
 }
--- a/src/test/java/hyssopturn/run/Story.java
+++ b/src/test/java/hyssopturn/run/Story.java
@@ -26,7 +26,7 @@
     private static final int ACTIVATION_BYTES = 4_000;
     private static final double SLOW = 12;
     private static final Duration DEAD_LAG = Duration.ofMillis(500);
-    private static final Duration END = Duration.ofSeconds(120);
+    private static final Duration END = Duration.ofMinutes(2);
     private static final Duration QUARTER = Duration.ofMillis(250);
 
     private final Town town;
--- a/src/test/java/hyssopturn/run/StreamFuzzTest.java
+++ b/src/test/java/hyssopturn/run/StreamFuzzTest.java
@@ -23,6 +23,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.UnaryOperator;
 
 /**
@@ -131,7 +132,7 @@
 
         @Test
         void answerToTheWrongStreamIsCaught() {
-            String[] shared = {""};
+            AtomicReference<String> shared = new AtomicReference<>("");
             assertCaught(machine -> new WrongStream(machine, shared));
         }
 
@@ -248,7 +249,8 @@
     }
 
     /** Gives each caller the token made last for any caller. */
-    private record WrongStream(RunMachine machine, String[] last) implements RunMachine {
+    private record WrongStream(RunMachine machine, AtomicReference<String> last)
+            implements RunMachine {
         @Override
         public List<RunAction> on(RunEvent event, long now) {
             return mapped(machine.on(event, now), this::swapped);
@@ -258,8 +260,8 @@
             if (!(action instanceof RunAction.Emit(AnswerEvent.Token(int index, String text)))) {
                 return action;
             }
-            String given = last[0].isEmpty() ? text : last[0];
-            last[0] = text;
+            String before = last.getAndSet(text);
+            String given = before.isEmpty() ? text : before;
             return new RunAction.Emit(new AnswerEvent.Token(index, given));
         }
     }
--- a/src/test/java/hyssopturn/run/Town.java
+++ b/src/test/java/hyssopturn/run/Town.java
@@ -89,6 +89,7 @@
                                         new BestRoutes(costs, clock, random.split()),
                                         costs,
                                         () -> view,
+                                        new NoEvidence(),
                                         clock,
                                         events,
                                         meters),
@@ -98,6 +99,14 @@
                         : new NaiveDriver(engines, new RoundRobinChooser(), () -> view, events);
     }
 
+    private static final class NoEvidence implements Evidence {
+        @Override
+        public void unreachable(Instance endpoint) {}
+
+        @Override
+        public void leaving(Instance endpoint) {}
+    }
+
     /** What one caller got. */
     final class Reader {
         final Generation generation;
