--- a/src/main/java/hyssopturn/bench/StateSlopes.java
+++ b/src/main/java/hyssopturn/bench/StateSlopes.java
@@ -79,13 +79,16 @@
 
     private static Answers answers(int tokens) {
         int each = 500;
-        Answers answers = new Answers(new VirtualClock(0), Duration.ofHours(1), 1L << 30);
+        Answers answers =
+                new Answers(
+                        new VirtualClock(0), Duration.ofHours(1), 1L << 30, Duration.ofHours(1));
         for (int request = 0; request < tokens / each; request++) {
             List<AnswerEvent> events =
                     IntStream.range(0, each)
                             .<AnswerEvent>mapToObj(i -> new AnswerEvent.Token(i, " word" + i))
                             .toList();
-            answers.start(new RequestId("n." + request), Multi.createFrom().iterable(events));
+            answers.start(
+                    new RequestId("n." + request), Multi.createFrom().iterable(events), false);
         }
         return answers;
     }
