Bound waits for the connection and the engine apart, and measure recovery

Detection of silence took as long for the connection as for the engine, and prompts were waited for as long as the target allows until each engine had been seen often.

--- a/src/main/java/hyssopturn/route/EngineCosts.java
+++ b/src/main/java/hyssopturn/route/EngineCosts.java
@@ -23,6 +23,14 @@
      */
     void observed(InstanceId engine, int layers, int tokens, long nanos);
 
+    /**
+     * Learns that runs of this node came to an engine or left it.
+     *
+     * @param engine the engine
+     * @param runs number of runs more, negative for less
+     */
+    void assigned(InstanceId engine, int runs);
+
     /**
      * Learns that an engine does not answer, over a new connection either.
      *
--- a/src/main/java/hyssopturn/route/ObservedCosts.java
+++ b/src/main/java/hyssopturn/route/ObservedCosts.java
@@ -49,6 +49,11 @@
         learned.computeIfAbsent(engine, id -> new Learned()).learn(layers, tokens, nanos);
     }
 
+    @Override
+    public void assigned(InstanceId engine, int runs) {
+        learned.computeIfAbsent(engine, id -> new Learned()).assign(runs);
+    }
+
     @Override
     public void suspected(InstanceId engine) {
         long until = clock.nanos() + SUSPECT_SPAN.toNanos();
@@ -60,6 +65,7 @@
         private double layerNanos;
         private double layerTokenNanos;
         private double reportedNanos;
+        private int assigned;
         private boolean suspect;
         private long suspectUntil;
 
@@ -68,14 +74,24 @@
             double layer = layerNanos > 0 ? layerNanos : guess(report);
             double token = layerTokenNanos > 0 ? layerTokenNanos : layer * DEFAULT_TOKEN_SHARE;
             double batches = (double) report.waiting() / Math.max(1, report.running());
-            double queue = reportedNanos * Math.min(GREATEST_QUEUE_STEPS, batches);
+            double waiting = reportedNanos * Math.min(GREATEST_QUEUE_STEPS, batches);
+            double beside = assigned * token * layers(report);
+            double queue = waiting + beside;
             EngineCost cost = new EngineCost(linkNanos, 0, queue, layer, token);
             return suspect && now - suspectUntil < 0 ? cost.times(SUSPECT_FACTOR) : cost;
         }
 
         private double guess(EngineReport report) {
+            return reportedNanos > 0 ? reportedNanos / layers(report) : DEFAULT_LAYER_NANOS;
+        }
+
+        private static int layers(EngineReport report) {
             int layers = report.held().stream().map(Holding::layers).mapToInt(l -> l.size()).sum();
-            return reportedNanos > 0 ? reportedNanos / Math.max(1, layers) : DEFAULT_LAYER_NANOS;
+            return Math.max(1, layers);
+        }
+
+        synchronized void assign(int runs) {
+            assigned += runs;
         }
 
         synchronized void learn(int layers, int tokens, long nanos) {
--- a/src/main/java/hyssopturn/run/RecoveringDriver.java
+++ b/src/main/java/hyssopturn/run/RecoveringDriver.java
@@ -3,6 +3,7 @@
 import hyssopturn.event.EventRing;
 import hyssopturn.member.View;
 import hyssopturn.model.AnswerEvent;
+import hyssopturn.model.InstanceId;
 import hyssopturn.model.RequestId;
 import hyssopturn.port.Clock;
 import hyssopturn.port.EngineClient;
@@ -16,7 +17,9 @@
 import io.smallrye.mutiny.subscription.MultiEmitter;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -98,6 +101,7 @@
         private final MultiEmitter<? super AnswerEvent> emitter;
         private final Queue<RunEvent> inbox = new ConcurrentLinkedQueue<>();
         private final AtomicInteger waiting = new AtomicInteger();
+        private final Set<InstanceId> held = new HashSet<>();
         private Clock.Timer timer = () -> {};
 
         Shell(Generation generation, MultiEmitter<? super AnswerEvent> emitter) {
@@ -125,10 +129,12 @@
             switch (action) {
                 case RunAction.Send send -> send(send);
                 case RunAction.Move move -> move(move);
-                case RunAction.Cancel(Instance engine, int attempt) -> cancel(engine, attempt, 1);
+                case RunAction.Cancel(Instance engine, int attempt) -> cancel(engine, attempt);
                 case RunAction.Emit(AnswerEvent event) -> emit(event);
                 case RunAction.Arm(long number, Duration delay) -> arm(number, delay);
                 case RunAction.Learn learn -> learn(learn);
+                case RunAction.GiveUp(var engine, StepCall call, long nanos) ->
+                        waits.gaveUp(engine, call.count(), nanos, call.predicted());
                 case RunAction.Suspect(var engine) -> parts.costs.suspected(engine);
                 case RunAction.Unreachable(Instance engine) -> parts.evidence.unreachable(engine);
                 case RunAction.Leaving(Instance engine) -> parts.evidence.leaving(engine);
@@ -138,6 +144,9 @@
         }
 
         private void send(RunAction.Send send) {
+            if (held.add(send.engine().id())) {
+                parts.costs.assigned(send.engine().id(), 1);
+            }
             parts.engines
                     .step(send.engine().address(), send.step(), send.dial())
                     .whenComplete(
@@ -177,6 +186,13 @@
             return error instanceof CompletionException ? error.getCause() : error;
         }
 
+        private void cancel(Instance engine, int attempt) {
+            if (held.remove(engine.id())) {
+                parts.costs.assigned(engine.id(), -1);
+            }
+            cancel(engine, attempt, 1);
+        }
+
         private void cancel(Instance engine, int attempt, int number) {
             parts.engines
                     .cancel(engine.address(), request, attempt)
--- a/src/main/java/hyssopturn/run/RunAction.java
+++ b/src/main/java/hyssopturn/run/RunAction.java
@@ -65,6 +65,15 @@
      */
     record Learn(InstanceId engine, int layers, StepCall call, long nanos) implements RunAction {}
 
+    /**
+     * Learns from a step that was given up.
+     *
+     * @param engine the engine
+     * @param call the call
+     * @param nanos time that it was waited for, in nanoseconds
+     */
+    record GiveUp(InstanceId engine, StepCall call, long nanos) implements RunAction {}
+
     /**
      * Tells others that an engine does not answer.
      *
--- a/src/main/java/hyssopturn/run/StreamRun.java
+++ b/src/main/java/hyssopturn/run/StreamRun.java
@@ -6,6 +6,7 @@
 import hyssopturn.model.AnswerEvent.End;
 import hyssopturn.model.InstanceId;
 import hyssopturn.model.Reason;
+import hyssopturn.model.Target;
 import hyssopturn.port.EngineClient.Dial;
 import hyssopturn.port.EngineClient.Step;
 import hyssopturn.port.EngineClient.StepResult;
@@ -18,6 +19,7 @@
 import hyssopturn.route.ChainChooser;
 import hyssopturn.route.Routes;
 import hyssopturn.run.Recoveries.Plan;
+import hyssopturn.run.WaitBounds.Patience;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -46,7 +48,7 @@
     private final WaitBounds waits;
     private final RunSettings settings;
     private final Lineage lineage;
-    private final Recoveries recoveries;
+    private final Recoveries plans;
     private final Truth truth = new Truth();
     private final Moves moves;
     private final Map<InstanceId, Long> avoid = new HashMap<>();
@@ -65,6 +67,7 @@
     private int delivered;
     private int failures;
     private int waited;
+    private int recoveries;
     private long progressNanos;
 
     private enum Phase {
@@ -89,7 +92,7 @@
         this.waits = waits;
         this.settings = settings;
         lineage = new Lineage(generation.prompt(), budget);
-        recoveries = new Recoveries(routes, generation.model());
+        plans = new Recoveries(routes, generation.model());
         moves = new Moves(routes, generation.model(), settings);
         progressNanos = generation.arrivedNanos();
     }
@@ -147,7 +150,15 @@
         }
         phase = Phase.CALLING;
         issue(fresh, now);
-        arm(waits.bound(engine, call.count(), call.predicted(), generation.workClass().target()));
+        arm(bound(engine));
+    }
+
+    /** The bound doubles with each recovery until a token comes, for it may have been too low. */
+    private Duration bound(InstanceId engine) {
+        Target target = generation.workClass().target();
+        Patience patience = call.fresh() ? Patience.ENGINE : Patience.CONNECTION;
+        return waits.bound(engine, call.count(), call.predicted(), target, patience)
+                .multipliedBy(1L << Math.min(GREATEST_DOUBLINGS, recoveries));
     }
 
     /** An engine that has left gets nothing new, though it stood in the chain from the start. */
@@ -239,6 +250,7 @@
         delivered++;
         progressNanos = now;
         waited = 0;
+        recoveries = 0;
         failures = 0;
         strikes.clear();
         if (token.last() || delivered == generation.maxTokens()) {
@@ -373,6 +385,14 @@
         send(true, now);
     }
 
+    private void timedOut(long now) {
+        if (call.fresh()) {
+            long nanos = now - call.sentNanos();
+            actions.add(new RunAction.GiveUp(lineage.current().engine(), call, nanos));
+        }
+        silent(now);
+    }
+
     private void suspect(long now) {
         InstanceId engine = lineage.current().engine();
         actions.add(new RunAction.Suspect(engine));
@@ -393,7 +413,7 @@
             finish(truth.end("no engines could go on in time"));
             return;
         }
-        Optional<Plan> plan = recoveries.best(lineage, view.get(), avoided(now));
+        Optional<Plan> plan = plans.best(lineage, view.get(), avoided(now));
         if (plan.isEmpty()) {
             await(now);
             return;
@@ -407,6 +427,7 @@
     }
 
     private void adopt(Plan plan, long now) {
+        recoveries++;
         lineage.adopt(plan.places(), plan.cursor());
         Set<InstanceId> kept = lineage.enginesBut(-1);
         List.copyOf(touched.keySet()).stream()
@@ -444,7 +465,7 @@
             return;
         }
         switch (phase) {
-            case CALLING -> silent(now);
+            case CALLING -> timedOut(now);
             case WAITING -> recover(now);
             case MOVING -> moveBroke(highestAttempt, now);
             case NEW, ENDED -> {
