--- a/src/main/java/hyssopturn/filter/RunFilter.java
+++ b/src/main/java/hyssopturn/filter/RunFilter.java
@@ -10,6 +10,7 @@
 import hyssopturn.run.Generation;
 import hyssopturn.run.Prompt;
 import hyssopturn.run.ServiceDriver;
+import hyssopturn.run.ServiceWork;
 
 import io.smallrye.mutiny.Multi;
 
@@ -40,17 +41,28 @@
                     generate(exchange, model, (Exchange.Input.Text) exchange.call().input());
             case Work.Call(String service, boolean repeatable) ->
                     services.run(
-                            service,
-                            new ServiceCall(
-                                    exchange.request(),
-                                    exchange.account(),
-                                    exchange.workClass().name(),
-                                    exchange.call().key(),
-                                    ((Exchange.Input.Json) exchange.call().input()).body()),
-                            exchange.maySend());
+                            new ServiceWork(
+                                    service,
+                                    call(exchange),
+                                    repeatable,
+                                    exchange.maySend(),
+                                    deadline(exchange)));
         };
     }
 
+    private static ServiceCall call(Exchange exchange) {
+        return new ServiceCall(
+                exchange.request(),
+                exchange.account(),
+                exchange.workClass().name(),
+                exchange.call().key(),
+                ((Exchange.Input.Json) exchange.call().input()).body());
+    }
+
+    private static long deadline(Exchange exchange) {
+        return exchange.arrivedNanos() + exchange.workClass().target().first().toNanos();
+    }
+
     private Multi<AnswerEvent> generate(
             Exchange exchange, String model, Exchange.Input.Text input) {
         Optional<ModelSpec> spec = exchange.config().model(model);
--- a/src/main/java/hyssopturn/node/Node.java
+++ b/src/main/java/hyssopturn/node/Node.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 
 import hyssopturn.admit.OpenAdmission;
+import hyssopturn.admit.RetryBudget;
 import hyssopturn.config.ConfigController;
 import hyssopturn.config.Seal;
 import hyssopturn.config.Snapshotter;
@@ -172,10 +173,14 @@
                         new RunFilter(
                                 driver(settings),
                                 new ServiceDriver(
-                                        ports.services(),
-                                        directory::view,
-                                        ports.random(),
-                                        events))));
+                                        new ServiceDriver.Parts(
+                                                ports.services(),
+                                                directory::view,
+                                                new RetryBudget(),
+                                                evidence(),
+                                                ports.clock(),
+                                                ports.random(),
+                                                events)))));
     }
 
     private Driver driver(NodeSettings settings) {
--- a/src/main/java/hyssopturn/run/ServiceDriver.java
+++ b/src/main/java/hyssopturn/run/ServiceDriver.java
@@ -1,118 +1,175 @@
 package hyssopturn.run;
 
-import hyssopturn.event.Detail;
+import hyssopturn.admit.RetryBudget;
 import hyssopturn.event.EventRing;
 import hyssopturn.member.View;
 import hyssopturn.model.AnswerEvent;
-import hyssopturn.model.Reason;
-import hyssopturn.port.EngineClient.Dial;
-import hyssopturn.port.FailedException;
+import hyssopturn.port.Clock;
 import hyssopturn.port.Instance;
-import hyssopturn.port.RefusedException;
 import hyssopturn.port.ServiceClient;
-import hyssopturn.port.ServiceClient.ServiceAnswer;
-import hyssopturn.port.ServiceClient.ServiceCall;
 
 import io.smallrye.mutiny.Multi;
 import io.smallrye.mutiny.Uni;
 
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.Map;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.function.BooleanSupplier;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
-/** Calls plain services; goes on to another instance only while the call certainly did not run. */
+/** Calls plain services: does what {@link CallRun} decides. */
 public final class ServiceDriver {
-    private final ServiceClient services;
-    private final Supplier<View> view;
-    private final RandomGenerator random;
-    private final EventRing events;
+    private static final double HEDGE_SHARE = 0.95;
+    private static final int FEW_SAMPLES = 32;
+    private static final Duration FIRST_HEDGE = Duration.ofMillis(200);
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final Parts parts;
+    private final Map<String, DecayingQuantile> spans = new ConcurrentHashMap<>();
 
     /**
-     * Creates the driver.
+     * What the driver needs.
      *
      * @param services calls services
      * @param view services that may be called
+     * @param retries budget of sendings after the first
+     * @param evidence takes in what calls show of services
+     * @param clock time
      * @param random spreads calls over instances
      * @param events records failures
      */
-    public ServiceDriver(
-            ServiceClient services, Supplier<View> view, RandomGenerator random, EventRing events) {
-        this.services = services;
-        this.view = view;
-        this.random = random;
-        this.events = events;
+    public record Parts(
+            ServiceClient services,
+            Supplier<View> view,
+            RetryBudget retries,
+            Evidence evidence,
+            Clock clock,
+            RandomGenerator random,
+            EventRing events) {}
+
+    /**
+     * Creates the driver.
+     *
+     * @param parts what it needs
+     */
+    public ServiceDriver(Parts parts) {
+        this.parts = parts;
     }
 
     /**
      * Calls a service.
      *
-     * @param service name of the service
-     * @param call the call
-     * @param maySend asked right before each sending; once false, nothing is sent any more
+     * @param work the call
      * @return the answer's body if there is one, then one end
      */
-    public Multi<AnswerEvent> run(String service, ServiceCall call, BooleanSupplier maySend) {
+    public Multi<AnswerEvent> run(ServiceWork work) {
         return Uni.createFrom()
-                .completionStage(() -> call(service, call, maySend))
+                .completionStage(() -> new Shell(work).start())
                 .onItem()
-                .transformToMulti(parts -> Multi.createFrom().iterable(parts));
+                .transformToMulti(answer -> Multi.createFrom().iterable(answer));
     }
 
-    private CompletableFuture<List<AnswerEvent>> call(
-            String service, ServiceCall call, BooleanSupplier maySend) {
-        List<Instance> candidates = new ArrayList<>(view.get().servicesNamed(service));
-        CompletableFuture<List<AnswerEvent>> answer = new CompletableFuture<>();
-        next(candidates, call, maySend, answer);
-        return answer;
+    private List<Instance> shuffled(String service) {
+        List<Instance> instances = new ArrayList<>(parts.view.get().servicesNamed(service));
+        for (int i = instances.size() - 1; i > 0; i--) {
+            Collections.swap(instances, i, parts.random.nextInt(i + 1));
+        }
+        return instances;
     }
 
-    private void next(
-            List<Instance> candidates,
-            ServiceCall call,
-            BooleanSupplier maySend,
-            CompletableFuture<List<AnswerEvent>> answer) {
-        if (candidates.isEmpty()) {
-            String message = "no instance of the service takes the call";
-            answer.complete(List.of(AnswerEvent.End.notRun(Reason.NO_ENDPOINT, message)));
-            return;
+    private Duration hedgeDelay(String service) {
+        DecayingQuantile span = spans.get(service);
+        if (span == null) {
+            return FIRST_HEDGE;
         }
-        if (!maySend.getAsBoolean()) {
-            String message = "the time to send the call has passed";
-            answer.complete(List.of(AnswerEvent.End.notRun(Reason.DEADLINE, message)));
-            return;
+        synchronized (span) {
+            return span.samples() < FEW_SAMPLES
+                    ? FIRST_HEDGE
+                    : Duration.ofNanos((long) (span.at(HEDGE_SHARE) * NANOS_PER_MILLI));
         }
-        Instance chosen = candidates.remove(random.nextInt(candidates.size()));
-        services.call(chosen.address(), call, Dial.POOLED)
-                .whenComplete(
-                        (result, error) -> {
-                            if (error == null) {
-                                answer.complete(whole(result));
-                                return;
-                            }
-                            Throwable cause =
-                                    error instanceof CompletionException ? error.getCause() : error;
-                            events.record(
-                                    call.request(),
-                                    new Detail.EndpointFailed(chosen.id(), cause.toString()));
-                            if (cause instanceof RefusedException) {
-                                next(candidates, call, maySend, answer);
-                            } else {
-                                answer.complete(List.of(end(cause)));
-                            }
-                        });
     }
 
-    private static List<AnswerEvent> whole(ServiceAnswer result) {
-        return List.of(new AnswerEvent.Body(result.body()), AnswerEvent.End.done());
+    private void learn(String service, long nanos) {
+        DecayingQuantile span = spans.computeIfAbsent(service, s -> new DecayingQuantile());
+        synchronized (span) {
+            span.add(nanos / NANOS_PER_MILLI);
+        }
     }
 
-    private static AnswerEvent.End end(Throwable cause) {
-        return cause instanceof FailedException
-                ? AnswerEvent.End.failed(Reason.ENDPOINT_FAILED, cause.getMessage())
-                : AnswerEvent.End.unknown(cause.getMessage());
+    /** Takes events in one at a time, whichever threads they come from. */
+    private final class Shell {
+        private final ServiceWork work;
+        private final CallRun machine;
+        private final CompletableFuture<List<AnswerEvent>> answer = new CompletableFuture<>();
+        private final Queue<CallRun.Event> inbox = new ConcurrentLinkedQueue<>();
+        private final AtomicInteger waiting = new AtomicInteger();
+        private Clock.Timer timer = () -> {};
+
+        Shell(ServiceWork work) {
+            this.work = work;
+            machine =
+                    new CallRun(
+                            work,
+                            shuffled(work.service()),
+                            parts.retries,
+                            hedgeDelay(work.service()));
+        }
+
+        CompletableFuture<List<AnswerEvent>> start() {
+            post(new CallRun.Event.Started());
+            return answer;
+        }
+
+        private void post(CallRun.Event event) {
+            inbox.add(event);
+            if (waiting.getAndIncrement() > 0) {
+                return;
+            }
+            do {
+                machine.on(inbox.remove(), parts.clock.nanos()).forEach(this::perform);
+            } while (waiting.decrementAndGet() > 0);
+        }
+
+        private void perform(CallRun.Action action) {
+            switch (action) {
+                case CallRun.Action.Send send -> send(send);
+                case CallRun.Action.Watch(Duration delay) ->
+                        timer = parts.clock.after(delay, () -> post(new CallRun.Event.Slow()));
+                case CallRun.Action.Learn(long nanos) -> learn(work.service(), nanos);
+                case CallRun.Action.Unreachable(Instance at) -> parts.evidence.unreachable(at);
+                case CallRun.Action.Leaving(Instance at) -> parts.evidence.leaving(at);
+                case CallRun.Action.Note(var detail) ->
+                        parts.events.record(work.call().request(), detail);
+                case CallRun.Action.Finish(List<AnswerEvent> whole) -> {
+                    timer.cancel();
+                    answer.complete(whole);
+                }
+            }
+        }
+
+        private void send(CallRun.Action.Send send) {
+            parts.services
+                    .call(send.service().address(), work.call(), send.dial())
+                    .whenComplete(
+                            (result, error) ->
+                                    post(
+                                            error == null
+                                                    ? new CallRun.Event.Answered(
+                                                            send.number(), result)
+                                                    : new CallRun.Event.Broke(
+                                                            send.number(), cause(error))));
+        }
+
+        private static Throwable cause(Throwable error) {
+            return error instanceof CompletionException ? error.getCause() : error;
+        }
     }
 }
--- a/src/main/java/hyssopturn/run/StreamRun.java
+++ b/src/main/java/hyssopturn/run/StreamRun.java
@@ -24,6 +24,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -42,6 +43,9 @@
     private static final int GREATEST_STRIKES = 2;
     private static final int GREATEST_DOUBLINGS = 5;
 
+    /** Least number of waits that fit into the time that a run may go without a token. */
+    private static final int LEAST_WAITS = 10;
+
     private final Generation generation;
     private final Routes routes;
     private final Supplier<View> view;
@@ -54,6 +58,7 @@
     private final Map<InstanceId, Long> avoid = new HashMap<>();
     private final Map<InstanceId, Integer> strikes = new HashMap<>();
     private final Map<Instance, Integer> touched = new LinkedHashMap<>();
+    private final Set<Instance> known = new HashSet<>();
     private List<RunAction> actions = new ArrayList<>();
     private Phase phase = Phase.NEW;
 
@@ -157,13 +162,16 @@
     private Duration bound(InstanceId engine) {
         Target target = generation.workClass().target();
         Patience patience = call.fresh() ? Patience.ENGINE : Patience.CONNECTION;
-        return waits.bound(engine, call.count(), call.predicted(), target, patience)
-                .multipliedBy(1L << Math.min(GREATEST_DOUBLINGS, recoveries));
+        Duration bound =
+                waits.bound(engine, call.count(), call.predicted(), target, patience)
+                        .multipliedBy(1L << Math.min(GREATEST_DOUBLINGS, recoveries));
+        Duration limit = settings.patience().dividedBy(LEAST_WAITS);
+        return bound.compareTo(limit) < 0 ? bound : limit;
     }
 
-    /** An engine that has left gets nothing new, though it stood in the chain from the start. */
+    /** An engine that has left gets nothing new, though it may have been asked in vain before. */
     private boolean mayAsk(Instance engine) {
-        return touched.containsKey(engine)
+        return known.contains(engine)
                 || view.get().engines().stream()
                         .anyMatch(e -> e.instance().id().equals(engine.id()));
     }
@@ -222,6 +230,7 @@
         Place at = lineage.current();
         long nanos = now - event.call().sentNanos();
         actions.add(new RunAction.Learn(at.engine(), at.layers().size(), event.call(), nanos));
+        known.add(at.stage().engine());
         call = null;
         boolean last = lineage.atLast();
         lineage.accept(event.result().output());
@@ -294,6 +303,7 @@
         List<Place> places = new ArrayList<>(lineage.places());
         places.set(move.stage(), new Place(move.to(), move.from().have()));
         lineage.adopt(places, 0);
+        known.add(move.to().engine());
         cancel(move.from().stage().engine());
         actions.add(new RunAction.Count(Recovery.MOVE, 0));
         attempt(event.attempt(), now);
