Let prompt tokens cost a tenth of generated ones at the stand-in engine

All tokens of a prompt run in parallel, so a prompt of 100 tokens must not stall a batch like 100 requests.

--- a/src/main/java/hyssopturn/standin/EngineProfile.java
+++ b/src/main/java/hyssopturn/standin/EngineProfile.java
@@ -7,7 +7,8 @@
  *
  * @param accelerator kind of its accelerators
  * @param base time of a batch of one token through one layer range
- * @param perToken time that each further token of the batch adds
+ * @param perToken time that each token of the batch adds; a token of a prompt adds a tenth, as all
+ *     of a prompt run in parallel
  * @param maxBatchTokens greatest number of tokens in a batch
  * @param kvTokens number of tokens that its cache holds
  * @param prefixes number of prompt prefixes that its cache holds
--- a/src/main/java/hyssopturn/standin/FakeEngine.java
+++ b/src/main/java/hyssopturn/standin/FakeEngine.java
@@ -31,6 +31,7 @@
  * the arithmetic of {@link ReferenceModel}.
  */
 public final class FakeEngine {
+    private static final double PROMPT_TOKEN_COST = 0.1;
     private static final double PREFIX_HIT_COST = 0.2;
     private static final int JOURNAL_CAPACITY = 1_000_000;
 
@@ -191,7 +192,8 @@
         if (prefixes.size() > profile.prefixes()) {
             prefixes.remove(prefixes.iterator().next());
         }
-        return hit ? step.count() * PREFIX_HIT_COST : step.count();
+        double cost = step.count() * PROMPT_TOKEN_COST;
+        return hit ? cost * PREFIX_HIT_COST : cost;
     }
 
     private void finish(List<Pending> batch) {
--- a/src/main/java/hyssopturn/standin/LocalEngines.java
+++ b/src/main/java/hyssopturn/standin/LocalEngines.java
@@ -42,6 +42,16 @@
         delays.put(at, delay);
     }
 
+    /**
+     * Changes the delay of a link.
+     *
+     * @param at address of the engine
+     * @param delay delay of its link, one way
+     */
+    public void delay(Address at, Duration delay) {
+        delays.put(at, delay);
+    }
+
     /**
      * Kills an engine: calls under way stay in doubt, later ones are refused.
      *
