Schedule requests by latest start, attainment and served cost

One pool for each model or service holds a queue, a limit and predictions; a node now runs it in place of open admission. Proved by a differential test against a naive exact queue and by histories against rules, each with mutations that it catches.

--- a/src/main/java/hyssopturn/admit/Admission.java
+++ b/src/main/java/hyssopturn/admit/Admission.java
@@ -41,6 +41,9 @@
         /** Notes the first part of the answer. */
         void first();
 
+        /** Notes each further part of the answer. */
+        default void part() {}
+
         /**
          * Gives the permit back.
          *
--- /dev/null
+++ b/src/main/java/hyssopturn/admit/FairQueue.java
@@ -0,0 +1,92 @@
+package hyssopturn.admit;
+
+import hyssopturn.model.ClassName;
+
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/**
+ * Queue that starts the most urgent request while all can start in time, and otherwise keeps
+ * classes even by share of targets met and accounts even by served cost.
+ */
+final class FairQueue implements WaitQueue {
+    private static final int ACCOUNT_PART = 2;
+
+    private final Map<ClassName, ClassQueue> classes = new LinkedHashMap<>();
+    private final TreeSet<Ticket> byStart = new TreeSet<>(Ticket.BY_LATEST_START);
+    private final Demand demand = new Demand();
+
+    @Override
+    public void add(Ticket ticket) {
+        if (byStart.add(ticket)) {
+            demand.add(ticket.latestStartNanos);
+            queue(ticket).add(ticket);
+        }
+    }
+
+    private ClassQueue queue(Ticket ticket) {
+        return classes.computeIfAbsent(ticket.workClass.name(), name -> new ClassQueue());
+    }
+
+    @Override
+    public boolean remove(Ticket ticket) {
+        if (!byStart.remove(ticket)) {
+            return false;
+        }
+        demand.remove(ticket.latestStartNanos);
+        return queue(ticket).remove(ticket);
+    }
+
+    @Override
+    public Optional<Ticket> next(Supply supply) {
+        if (byStart.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(demand.exceeds(supply) ? fairest(supply.nowNanos()) : byStart.first());
+    }
+
+    private Ticket fairest(long now) {
+        Comparator<Ticket> order =
+                Comparator.<Ticket, Boolean>comparing(t -> queue(t).headOverServed(now))
+                        .thenComparingDouble(t -> attainment(t, now))
+                        .thenComparing(Ticket.BY_LATEST_START);
+        return classes.values().stream()
+                .filter(c -> !c.isEmpty())
+                .map(ClassQueue::head)
+                .min(order)
+                .orElseThrow();
+    }
+
+    private double attainment(Ticket ticket, long now) {
+        return queue(ticket).attainment(now) / ticket.workClass.share();
+    }
+
+    @Override
+    public Optional<Ticket> mostUrgent() {
+        return byStart.isEmpty() ? Optional.empty() : Optional.of(byStart.first());
+    }
+
+    @Override
+    public void started(Ticket ticket, long nowNanos) {
+        queue(ticket).started(ticket, nowNanos);
+    }
+
+    @Override
+    public void ended(Ticket ticket, boolean met, long nowNanos) {
+        queue(ticket).ended(ticket, met, nowNanos);
+    }
+
+    @Override
+    public boolean accepts(Ticket ticket, int capacity) {
+        int own = queue(ticket).waitingOf(ticket.ask.account());
+        return size() < capacity && own < Math.max(1, capacity / ACCOUNT_PART);
+    }
+
+    @Override
+    public int size() {
+        return byStart.size();
+    }
+}
--- a/src/main/java/hyssopturn/cli/Kind.java
+++ b/src/main/java/hyssopturn/cli/Kind.java
@@ -7,8 +7,11 @@
 import hyssopturn.model.Zone;
 
 import java.time.Duration;
+import java.util.Arrays;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
 
 /** Kind of a setting: how its text is read and what is allowed. */
 sealed interface Kind<T> {
@@ -118,6 +121,22 @@
         }
     }
 
+    record OneOf<E extends Enum<E>>(Class<E> type) implements Kind<E> {
+        @Override
+        public Optional<E> read(String text) {
+            return Arrays.stream(type.getEnumConstants())
+                    .filter(e -> e.name().equalsIgnoreCase(text.strip()))
+                    .findFirst();
+        }
+
+        @Override
+        public String allowed() {
+            return Arrays.stream(type.getEnumConstants())
+                    .map(e -> e.name().toLowerCase(Locale.ROOT))
+                    .collect(Collectors.joining(", ", "one of ", ""));
+        }
+    }
+
     record Place() implements Kind<Zone> {
         @Override
         public Optional<Zone> read(String text) {
--- a/src/main/java/hyssopturn/cli/NodeCommand.java
+++ b/src/main/java/hyssopturn/cli/NodeCommand.java
@@ -1,5 +1,6 @@
 package hyssopturn.cli;
 
+import hyssopturn.admit.AdmitSettings;
 import hyssopturn.front.FrontLimits;
 import hyssopturn.node.NodeSettings;
 
@@ -80,6 +81,14 @@
                 settings.get(Options.LOG_APPENDS),
                 settings.get(Options.ANSWER_KEEP),
                 settings.get(Options.ANSWER_BYTES),
-                settings.get(Options.EVENT_CAPACITY));
+                settings.get(Options.EVENT_CAPACITY),
+                new AdmitSettings(
+                        settings.get(Options.ADMIT_POLICY),
+                        settings.get(Options.ADMIT_LIMIT),
+                        Math.min(
+                                settings.get(Options.ADMIT_INITIAL_LIMIT),
+                                settings.get(Options.ADMIT_MAX_LIMIT)),
+                        settings.get(Options.ADMIT_MAX_LIMIT),
+                        settings.get(Options.ADMIT_QUEUE)));
     }
 }
--- a/src/main/java/hyssopturn/cli/Options.java
+++ b/src/main/java/hyssopturn/cli/Options.java
@@ -1,5 +1,7 @@
 package hyssopturn.cli;
 
+import hyssopturn.admit.LimitKind;
+import hyssopturn.admit.Policy;
 import hyssopturn.model.Address;
 import hyssopturn.model.Zone;
 
@@ -152,6 +154,36 @@
                     new Kind.Span(MILLI, DAY),
                     "10m",
                     "How long a shutdown waits for requests in progress");
+    static final Setting<Policy> ADMIT_POLICY =
+            new Setting<>(
+                    "admit-policy",
+                    new Kind.OneOf<>(Policy.class),
+                    "fair",
+                    "Order in which waiting requests start");
+    static final Setting<LimitKind> ADMIT_LIMIT =
+            new Setting<>(
+                    "admit-limit",
+                    new Kind.OneOf<>(LimitKind.class),
+                    "gradient",
+                    "How the number of requests that run at once is limited");
+    static final Setting<Integer> ADMIT_INITIAL_LIMIT =
+            new Setting<>(
+                    "admit-initial-limit",
+                    new Kind.Whole(1, 1_000_000),
+                    "32",
+                    "Requests of a model or service that may run at once in the beginning");
+    static final Setting<Integer> ADMIT_MAX_LIMIT =
+            new Setting<>(
+                    "admit-max-limit",
+                    new Kind.Whole(1, 1_000_000),
+                    "20000",
+                    "Greatest number of requests of a model or service that run at once");
+    static final Setting<Integer> ADMIT_QUEUE =
+            new Setting<>(
+                    "admit-queue",
+                    new Kind.Whole(1, 1_000_000),
+                    "20000",
+                    "Greatest number of requests of a model or service that wait");
 
     /** Settings of a node. */
     static final List<Setting<?>> NODE =
@@ -180,7 +212,12 @@
                     HEADER_LIMIT,
                     CONNECTIONS,
                     IDLE_TIMEOUT,
-                    DRAIN_TIMEOUT);
+                    DRAIN_TIMEOUT,
+                    ADMIT_POLICY,
+                    ADMIT_LIMIT,
+                    ADMIT_INITIAL_LIMIT,
+                    ADMIT_MAX_LIMIT,
+                    ADMIT_QUEUE);
 
     private Options() {}
 }
--- a/src/main/java/hyssopturn/filter/AdmitFilter.java
+++ b/src/main/java/hyssopturn/filter/AdmitFilter.java
@@ -85,6 +85,8 @@
                 case AnswerEvent.Token token -> {
                     if (tokens == 0) {
                         permit.first();
+                    } else {
+                        permit.part();
                     }
                     tokens++;
                 }
--- a/src/main/java/hyssopturn/node/Node.java
+++ b/src/main/java/hyssopturn/node/Node.java
@@ -2,7 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 
-import hyssopturn.admit.OpenAdmission;
+import hyssopturn.admit.ScheduledAdmission;
 import hyssopturn.config.ConfigController;
 import hyssopturn.config.Seal;
 import hyssopturn.config.Snapshotter;
@@ -69,6 +69,7 @@
     private final LogLedger ledger;
     private final Answers answers;
     private final Attainment attainment;
+    private final ScheduledAdmission admission;
     private final DrainFilter drain = new DrainFilter();
     private final FilterChain filters;
     private Instance self;
@@ -107,6 +108,7 @@
                         ports.log(),
                         ports.clock(),
                         ports.random());
+        admission = new ScheduledAdmission(settings.admit(), ports.clock());
         answers = new Answers(ports.clock(), settings.answerKeep(), settings.answerBytes());
         attainment = new Attainment(meters);
         demand = new DemandMeter(ports.clock());
@@ -158,7 +160,7 @@
                         new ClassFilter(events),
                         new AttainmentFilter(attainment, ports.clock()),
                         new LedgerFilter(ledger, ports.clock(), events),
-                        new AdmitFilter(new OpenAdmission(), ports.clock()),
+                        new AdmitFilter(admission, ports.clock()),
                         new RunFilter(
                                 new NaiveDriver(
                                         ports.engines(),
@@ -175,6 +177,7 @@
     /** Starts the controllers. */
     public void start() {
         config.listen(c -> events.record(new Detail.ConfigInForce(c.version())));
+        config.listen(admission::configured);
         config.start();
         directory.start();
         ledger.start();
@@ -313,6 +316,15 @@
         return directory.view();
     }
 
+    /**
+     * Returns the node's admission.
+     *
+     * @return queues and limits
+     */
+    public ScheduledAdmission admission() {
+        return admission;
+    }
+
     /**
      * Returns the recent events.
      *
--- a/src/main/java/hyssopturn/node/NodeSettings.java
+++ b/src/main/java/hyssopturn/node/NodeSettings.java
@@ -1,5 +1,6 @@
 package hyssopturn.node;
 
+import hyssopturn.admit.AdmitSettings;
 import hyssopturn.model.Zone;
 
 import java.time.Duration;
@@ -17,6 +18,7 @@
  * @param answerKeep how long a finished answer is kept
  * @param answerBytes greatest size of all answers kept, in bytes
  * @param eventCapacity number of events kept for the time line
+ * @param admit settings of admission
  */
 public record NodeSettings(
         Zone zone,
@@ -28,7 +30,8 @@
         int logAppends,
         Duration answerKeep,
         long answerBytes,
-        int eventCapacity) {
+        int eventCapacity,
+        AdmitSettings admit) {
 
     /**
      * Returns settings that suit a trial on one machine.
@@ -47,6 +50,28 @@
                 300,
                 Duration.ofMinutes(5),
                 64L << 20,
-                10_000);
+                10_000,
+                AdmitSettings.standard());
+    }
+
+    /**
+     * Returns the same settings with another admission.
+     *
+     * @param value settings of admission
+     * @return the settings
+     */
+    public NodeSettings withAdmit(AdmitSettings value) {
+        return new NodeSettings(
+                zone,
+                accountSecret,
+                peerSecret,
+                pollInterval,
+                logRetention,
+                ledgerKeep,
+                logAppends,
+                answerKeep,
+                answerBytes,
+                eventCapacity,
+                value);
     }
 }
