--- a/src/main/java/hyssopturn/bench/package-info.java
+++ b/src/main/java/hyssopturn/bench/package-info.java
@@ -1,2 +1,2 @@
-/** Load and measurements on small stand-ins. */
+/** Load and measurements on small stand-ins, against the best that these could do. */
 package hyssopturn.bench;
--- a/src/main/java/hyssopturn/cli/Program.java
+++ b/src/main/java/hyssopturn/cli/Program.java
@@ -43,6 +43,7 @@
                         .addSubcommand(new StatusCommand())
                         .addSubcommand(new TimelineCommand())
                         .addSubcommand(new TokenCommand())
+                        .addSubcommand(new BenchCommand())
                         .addSubcommand("config", ConfigCommand.create())
                         .addSubcommand("standin", StandinCommand.create())
                         .addSubcommand("generate-completion", new GenerateCompletion());
