--- a/src/main/java/hyssopturn/node/Node.java
+++ b/src/main/java/hyssopturn/node/Node.java
@@ -2,8 +2,8 @@
 
 import com.google.common.flogger.FluentLogger;
 
-import hyssopturn.admit.OpenAdmission;
 import hyssopturn.admit.RetryBudget;
+import hyssopturn.admit.ScheduledAdmission;
 import hyssopturn.config.ConfigController;
 import hyssopturn.config.Seal;
 import hyssopturn.config.Snapshotter;
@@ -75,6 +75,7 @@
     private final LogLedger ledger;
     private final Answers answers;
     private final Attainment attainment;
+    private final ScheduledAdmission admission;
     private final DrainFilter drain = new DrainFilter();
     private final FilterChain filters;
     private Instance self;
@@ -113,6 +114,7 @@
                         ports.log(),
                         ports.clock(),
                         ports.random());
+        admission = new ScheduledAdmission(settings.admit(), ports.clock());
         answers =
                 new Answers(
                         ports.clock(),
@@ -169,7 +171,7 @@
                         new ClassFilter(events),
                         new AttainmentFilter(attainment, ports.clock()),
                         new LedgerFilter(ledger, ports.clock(), events),
-                        new AdmitFilter(new OpenAdmission(), ports.clock()),
+                        new AdmitFilter(admission, ports.clock()),
                         new RunFilter(
                                 driver(settings),
                                 new ServiceDriver(
@@ -218,6 +220,7 @@
     /** Starts the controllers. */
     public void start() {
         config.listen(c -> events.record(new Detail.ConfigInForce(c.version())));
+        config.listen(admission::configured);
         config.start();
         directory.start();
         ledger.start();
@@ -357,6 +360,15 @@
         return directory.view();
     }
 
+    /**
+     * Returns the node's admission.
+     *
+     * @return queues and limits
+     */
+    public ScheduledAdmission admission() {
+        return admission;
+    }
+
     /**
      * Returns the recent events.
      *
--- a/src/main/java/hyssopturn/node/NodeSettings.java
+++ b/src/main/java/hyssopturn/node/NodeSettings.java
@@ -1,5 +1,6 @@
 package hyssopturn.node;
 
+import hyssopturn.admit.AdmitSettings;
 import hyssopturn.model.Zone;
 
 import java.time.Duration;
@@ -20,6 +21,7 @@
  * @param stallPatience how long a generation that has begun may go without a token
  * @param activationBytes greatest size of all activations kept for replay, in bytes
  * @param eventCapacity number of events kept for the time line
+ * @param admit settings of admission
  */
 public record NodeSettings(
         Zone zone,
@@ -34,7 +36,8 @@
         Duration callerGrace,
         Duration stallPatience,
         long activationBytes,
-        int eventCapacity) {
+        int eventCapacity,
+        AdmitSettings admit) {
 
     /**
      * Returns settings that suit a trial on one machine.
@@ -56,6 +59,31 @@
                 Duration.ofSeconds(30),
                 Duration.ofSeconds(30),
                 32L << 20,
-                10_000);
+                10_000,
+                AdmitSettings.standard());
+    }
+
+    /**
+     * Returns the same settings with another admission.
+     *
+     * @param value settings of admission
+     * @return the settings
+     */
+    public NodeSettings withAdmit(AdmitSettings value) {
+        return new NodeSettings(
+                zone,
+                accountSecret,
+                peerSecret,
+                pollInterval,
+                logRetention,
+                ledgerKeep,
+                logAppends,
+                answerKeep,
+                answerBytes,
+                callerGrace,
+                stallPatience,
+                activationBytes,
+                eventCapacity,
+                value);
     }
 }
