--- a/src/main/java/hyssopturn/bench/Slopes.java
+++ b/src/main/java/hyssopturn/bench/Slopes.java
@@ -37,6 +37,7 @@
      */
     public static List<Measurement> all() {
         List<Measurement> all = new ArrayList<>(StateSlopes.all());
+        all.addAll(LedgerSlopes.all());
         all.addAll(PathSlopes.all());
         return all;
     }
