--- a/src/test/java/hyssopturn/Processes.java
+++ b/src/test/java/hyssopturn/Processes.java
@@ -17,7 +17,8 @@
 
     record Running(Process process, Address address) {}
 
-    Running start(String... args) throws IOException {
+    /** Starts a command that ends by itself; its output is read by the caller. */
+    Process command(String... args) throws IOException {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(List.of("-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
@@ -27,6 +28,11 @@
         Process process =
                 new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.DISCARD).start();
         started.add(process);
+        return process;
+    }
+
+    Running start(String... args) throws IOException {
+        Process process = command(args);
         BufferedReader lines = process.inputReader();
         String line = lines.readLine();
         while (line != null && !line.startsWith(LISTENING)) {
