--- a/src/main/java/hyssopturn/config/ConfigDocument.java
+++ b/src/main/java/hyssopturn/config/ConfigDocument.java
@@ -88,7 +88,21 @@
         String at = error.getInstanceLocation().toString();
         String property = error.getProperty();
         boolean unknown = "additionalProperties".equals(error.getKeyword());
-        problem(unknown && property != null ? at + "/" + property : at, error.getMessage());
+        problem(unknown && property != null ? at + "/" + property : at, message(error));
+    }
+
+    /** Says what is allowed where the schema would only show a pattern. */
+    private static String message(Error error) {
+        if (!"pattern".equals(error.getKeyword())) {
+            return error.getMessage();
+        }
+        if (error.getMessage().contains("us|ms")) {
+            return "must be a whole number and one of us, ms, s, m, h, d, such as 250ms";
+        }
+        if (error.getMessage().contains("KiB")) {
+            return "must be a whole number and one of B, KiB, MiB, GiB, such as 64MiB";
+        }
+        return "must be 1 to 64 letters, digits, dots, dashes or underscores";
     }
 
     private void work(String name, JsonNode node) {
--- a/src/test/java/hyssopturn/config/ConfigDocumentTest.java
+++ b/src/test/java/hyssopturn/config/ConfigDocumentTest.java
@@ -80,7 +80,11 @@
                         first-token: 1s
                     """;
             List<String> found = problems(text);
-            assertThat(found, hasItem(containsString("line 5: classes.sheet.answer: ")));
+            assertThat(
+                    found,
+                    hasItem(
+                            containsString(
+                                    "line 5: classes.sheet.answer: must be a whole number and")));
             assertThat(found, hasItem(containsString("line 6: classes.sheet.share: ")));
             assertThat(found, hasItem(containsString("line 7: classes.sheet.colour: ")));
             assertThat(found, hasItem(containsString("line 8: classes.letter: ")));
--- a/src/test/java/hyssopturn/place/PlaceReport.java
+++ b/src/test/java/hyssopturn/place/PlaceReport.java
@@ -19,6 +19,8 @@
         compare("workshop", Fleet.workshopDemand(), Fleet.workshop());
         compare("haven", Fleet.havenDemand(), Fleet.haven());
         compare("town", Fleet.townDemand(), Fleet.workshop());
+        List<Worker> dozen = Fleet.workshop().subList(0, 12);
+        compare("dozen", Fleet.workshopDemand(), dozen);
         for (int count : List.of(40, 150, 300, 600)) {
             List<Worker> workers = Fleet.mixed(count, "west", "a", "b", "c", "d");
             time(Fleet.townDemand(), workers);
@@ -28,6 +30,12 @@
     private static void compare(String site, List<Demand> demands, List<Worker> workers) {
         Planner planner = new Planner(Links.BY_DISTANCE);
         print(site + " planned", demands, workers, planner.plan(demands, workers));
+        for (Demand demand : demands) {
+            double layers = workers.stream().mapToDouble(w -> 1_000 / w.layerMillis()).sum();
+            System.out.printf(
+                    "%s bound if all served %s: %.0f%n",
+                    site, demand.model().id().name(), layers / demand.model().layers());
+        }
         print(site + " even", demands, workers, EvenSplit.plan(demands, workers));
     }
 
