--- a/src/main/java/hyssopturn/cli/Program.java
+++ b/src/main/java/hyssopturn/cli/Program.java
@@ -39,11 +39,12 @@
                 new CommandLine(new Program())
                         .addSubcommand(new NodeCommand())
                         .addSubcommand(new TryCommand())
-                        .addSubcommand(new SlopesCommand())
                         .addSubcommand(new StatusCommand())
                         .addSubcommand(new TimelineCommand())
                         .addSubcommand(new TokenCommand())
-                        .addSubcommand(new BenchCommand())
+                        .addSubcommand(
+                                new CommandLine(new BenchCommand())
+                                        .addSubcommand(new SlopesCommand()))
                         .addSubcommand("config", ConfigCommand.create())
                         .addSubcommand("standin", StandinCommand.create())
                         .addSubcommand("generate-completion", new GenerateCompletion());
