Count the size of versions that the holder never saw published

A node that took the lease during a roll took old versions for weightless and ordered them beside the new one, beyond the engine's memory. Sizes now fall back to a known version of the model. The placement test bounds what each engine holds and loads; it fails without the change (6 layers in room for 4). The rate of the weight store is asked again until it is known, and package lease counts as a decision package in the architecture test.

--- a/src/main/java/hyssopturn/place/PlacementController.java
+++ b/src/main/java/hyssopturn/place/PlacementController.java
@@ -232,8 +232,21 @@
         return overdue;
     }
 
+    /** Returns the size of a layer; a version that was never seen is taken for a known one. */
     private long layerBytes(ModelId model) {
-        return layerBytes.getOrDefault(model, 0L);
+        Long known = layerBytes.get(model);
+        if (known != null) {
+            return known;
+        }
+        return layerBytes.entrySet().stream()
+                .filter(e -> e.getKey().name().equals(model.name()))
+                .mapToLong(Map.Entry::getValue)
+                .max()
+                .orElseGet(this::largestLayer);
+    }
+
+    private long largestLayer() {
+        return layerBytes.values().stream().mapToLong(bytes -> bytes).max().orElse(0);
     }
 
     private long budgetBytes() {
@@ -243,7 +256,8 @@
     private List<Demand> demands(Config config) {
         List<Demand> demands = new ArrayList<>();
         for (ModelSpec spec : new java.util.TreeMap<>(config.models()).values()) {
-            if (layerBytes.put(spec.id(), spec.bytesPerLayer()) == null) {
+            boolean unknown = layerBytes.put(spec.id(), spec.bytesPerLayer()) == null;
+            if (unknown || storeBytesPerSecond == 0) {
                 outside.weights()
                         .describe(spec.id())
                         .thenAccept(w -> storeBytesPerSecond = w.bytesPerSecond());
--- a/src/test/java/hyssopturn/ArchitectureTest.java
+++ b/src/test/java/hyssopturn/ArchitectureTest.java
@@ -15,6 +15,7 @@
         "hyssopturn.route..",
         "hyssopturn.ledger..",
         "hyssopturn.config..",
+        "hyssopturn.lease..",
         "hyssopturn.member..",
         "hyssopturn.place..",
         "hyssopturn.log..",
--- a/src/test/java/hyssopturn/place/PlacementTest.java
+++ b/src/test/java/hyssopturn/place/PlacementTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import hyssopturn.lease.LeaseController;
@@ -54,6 +55,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 
 class PlacementTest {
     private static final int LAYERS = 12;
@@ -166,6 +168,19 @@
                 boolean now = uncovered(serving).isEmpty();
                 assertThat("a layer lost its last holder", covered && !now, is(false));
                 covered = now;
+                checkMemory();
+            }
+        }
+
+        private void checkMemory() {
+            for (View.EngineView engine : view().engines()) {
+                int layers =
+                        Stream.concat(
+                                        engine.report().held().stream(),
+                                        engine.report().loading().stream())
+                                .mapToInt(h -> h.layers().size())
+                                .sum();
+                assertThat("layers in memory", layers, lessThanOrEqualTo(ROOM));
             }
         }
 
