Keep one whole version during a roll, not all older copies

With sizes counted right, a third version that overtook a roll found no memory: the last copies of both older versions were kept although only one of them can serve. Now the version that is held whole is kept, and no other.

--- a/src/main/java/hyssopturn/place/Transition.java
+++ b/src/main/java/hyssopturn/place/Transition.java
@@ -1,6 +1,7 @@
 package hyssopturn.place;
 
 import hyssopturn.model.InstanceId;
+import hyssopturn.model.LayerRange;
 import hyssopturn.model.ModelId;
 import hyssopturn.port.EngineClient.Holding;
 
@@ -58,19 +59,24 @@
         return steps;
     }
 
-    /** Returns the versions wanted, and older ones while those are not held whole. */
+    /** Returns the versions wanted, and one that is held whole in place of each that is not. */
     private static Set<ModelId> served(
             List<Demand> demands, List<Worker> workers, Coverage coverage) {
         Set<ModelId> served = new HashSet<>();
         for (Demand demand : demands) {
             ModelId wanted = demand.model().id();
+            LayerRange whole = demand.model().whole();
             served.add(wanted);
-            if (!coverage.covers(wanted, demand.model().whole())) {
+            if (!coverage.covers(wanted, whole)) {
                 workers.stream()
                         .flatMap(w -> w.held().stream())
                         .map(Holding::model)
                         .filter(m -> m.name().equals(wanted.name()))
-                        .forEach(served::add);
+                        .filter(m -> coverage.covers(m, whole))
+                        .max(
+                                Comparator.<ModelId>comparingInt(m -> coverage.lowest(m, whole))
+                                        .thenComparing(Comparator.naturalOrder()))
+                        .ifPresent(served::add);
             }
         }
         return served;
--- a/src/test/java/hyssopturn/place/PlacementTest.java
+++ b/src/test/java/hyssopturn/place/PlacementTest.java
@@ -250,6 +250,17 @@
         world.checkAtRest(2);
     }
 
+    @Test
+    void aRollIsOvertakenByTheNextVersion() {
+        World world = new World(true);
+        world.advance(TAKEN);
+        world.config = World.config("2");
+        world.advance(Duration.ofSeconds(1));
+        world.config = World.config("3");
+        world.advance(TAKEN.multipliedBy(2));
+        world.checkAtRest(2);
+    }
+
     @Test
     void rangesOfADeadEngineGetANewHolder() {
         World world = new World(true);
