--- a/src/main/java/hyssopturn/standin/MemoryLog.java
+++ b/src/main/java/hyssopturn/standin/MemoryLog.java
@@ -208,6 +208,16 @@
         target.first = Math.max(target.first, Math.min(before, target.end));
     }
 
+    /**
+     * Returns the offset that the next append to a stream will get.
+     *
+     * @param stream name of the stream
+     * @return the offset, from 1
+     */
+    public synchronized long end(String stream) {
+        return streams.computeIfAbsent(stream, name -> new Stream()).end;
+    }
+
     /**
      * Counts the appends that took effect.
      *
