Judge late copies of records by what their author had read

Change: a record tells how far its author had read. A node that begins after the first record leaves out what was put together before its beginning, and serves only after a record whose floor says that nothing left out matters; that record also brings the numbers of all authors' last records.

--- a/src/main/java/hyssopturn/ledger/BatchCodec.java
+++ b/src/main/java/hyssopturn/ledger/BatchCodec.java
@@ -4,11 +4,13 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 
 import hyssopturn.helper.InvalidArgumentException;
+import hyssopturn.ledger.generated.LedgerProto.AuthorMessage;
 import hyssopturn.ledger.generated.LedgerProto.BatchMessage;
 import hyssopturn.ledger.generated.LedgerProto.CarriedMessage;
 import hyssopturn.ledger.generated.LedgerProto.ClaimIdMessage;
 import hyssopturn.ledger.generated.LedgerProto.ClaimMessage;
 import hyssopturn.ledger.generated.LedgerProto.EntryMessage;
+import hyssopturn.ledger.generated.LedgerProto.FloorMessage;
 import hyssopturn.ledger.generated.LedgerProto.HashMessage;
 import hyssopturn.ledger.generated.LedgerProto.KeyMessage;
 import hyssopturn.ledger.generated.LedgerProto.ReleasedMessage;
@@ -19,7 +21,9 @@
 import hyssopturn.model.Outcome;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /** Bytes of the ledger's records. */
@@ -37,13 +41,27 @@
                         .setAuthor(batch.author())
                         .setSequence(batch.sequence())
                         .setTimeMillis(batch.timeMillis())
-                        .setFloor(batch.floor());
+                        .setReadTo(batch.readTo());
+        batch.floor().ifPresent(floor -> message.setFloor(floor(floor)));
         for (LedgerEntry entry : batch.entries()) {
             message.addEntries(entry(entry, batch.author()));
         }
         return Bytes.wrap(message.build().toByteArray());
     }
 
+    private static FloorMessage floor(Batch.Floor floor) {
+        FloorMessage.Builder message =
+                FloorMessage.newBuilder().setHead(floor.head()).setFloor(floor.floor());
+        floor.authors()
+                .forEach(
+                        (author, sequence) ->
+                                message.addAuthors(
+                                        AuthorMessage.newBuilder()
+                                                .setAuthor(author)
+                                                .setSequence(sequence)));
+        return message.build();
+    }
+
     private static EntryMessage entry(LedgerEntry entry, String author) {
         EntryMessage.Builder message = EntryMessage.newBuilder();
         switch (entry) {
@@ -141,13 +159,22 @@
                             author,
                             message.getSequence(),
                             message.getTimeMillis(),
-                            message.getFloor(),
+                            message.getReadTo(),
+                            message.hasFloor()
+                                    ? Optional.of(floor(message.getFloor()))
+                                    : Optional.empty(),
                             entries));
         } catch (InvalidProtocolBufferException | InvalidArgumentException e) {
             return Optional.empty();
         }
     }
 
+    private static Batch.Floor floor(FloorMessage message) {
+        Map<String, Long> authors = new HashMap<>();
+        message.getAuthorsList().forEach(a -> authors.put(a.getAuthor(), a.getSequence()));
+        return new Batch.Floor(message.getHead(), message.getFloor(), authors);
+    }
+
     private static Optional<LedgerEntry> entry(EntryMessage message, String author) {
         return switch (message.getKindCase()) {
             case CLAIM ->
--- a/src/main/java/hyssopturn/ledger/LedgerCore.java
+++ b/src/main/java/hyssopturn/ledger/LedgerCore.java
@@ -365,7 +365,12 @@
         if (whole) {
             upkeep.run(ledgerMillis(now), now);
         }
-        Outbox.Stamp stamp = new Outbox.Stamp(author, ledgerMillis(now), whole ? fold.floor() : 0);
+        Outbox.Stamp stamp =
+                new Outbox.Stamp(
+                        author,
+                        ledgerMillis(now),
+                        fold.next(),
+                        () -> whole ? Optional.of(fold.floor()) : Optional.empty());
         outbox.next(now, pace.gapNanos(now), stamp, claims::containsKey).ifPresent(this::append);
         List<LedgerAction> done = actions;
         actions = new ArrayList<>();
--- a/src/main/java/hyssopturn/ledger/LedgerFold.java
+++ b/src/main/java/hyssopturn/ledger/LedgerFold.java
@@ -1,12 +1,16 @@
 package hyssopturn.ledger;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * What the records of the ledger's stream add up to; the same at every node that has read it whole.
@@ -28,10 +32,14 @@
     private final LinkedHashMap<ClaimId, Long> released = new LinkedHashMap<>();
     private final Map<String, Written> authors = new HashMap<>();
     private long timeMillis;
-    private long start = 1;
     private long next = 1;
+    private final Newcomer newcomer = new Newcomer();
+    // valid records from the head on, without those before one with a lower readTo
+    private final Deque<Read> window = new ArrayDeque<>();
     private long bestFloor;
 
+    private record Read(long offset, long readTo) {}
+
     private record Written(long sequence, long timeMillis) {}
 
     LedgerFold(Duration keep) {
@@ -44,21 +52,25 @@
         open.clear();
         released.clear();
         authors.clear();
+        window.clear();
         bestFloor = 0;
-        start = offset;
+        newcomer.start(offset);
         next = offset;
     }
 
     /** Applies a record; false if it is void. */
     boolean apply(long offset, Batch batch) {
         next = offset + 1;
+        if (newcomer.cannotJudge(offset, batch)) {
+            return false;
+        }
         Written before = authors.get(batch.author());
         if (before != null && batch.sequence() <= before.sequence()) {
             return false;
         }
         timeMillis = Math.max(timeMillis, batch.timeMillis());
         authors.put(batch.author(), new Written(batch.sequence(), timeMillis));
-        bestFloor = Math.max(bestFloor, batch.floor());
+        observe(offset, batch);
         boolean late = batch.timeMillis() + CARRY_LIMIT_MILLIS < timeMillis;
         for (LedgerEntry entry : batch.entries()) {
             switch (entry) {
@@ -67,7 +79,7 @@
                 case LedgerEntry.Released given -> release(given);
                 case LedgerEntry.Carried carried -> {
                     if (!late) {
-                        carry(carried, offset);
+                        carry(carried, offset, batch.readTo());
                     }
                 }
             }
@@ -76,6 +88,43 @@
         return true;
     }
 
+    private void observe(long offset, Batch batch) {
+        while (!window.isEmpty() && window.peekLast().readTo() >= batch.readTo()) {
+            window.pollLast();
+        }
+        window.addLast(new Read(offset, batch.readTo()));
+        batch.floor().ifPresent(floor -> learn(batch, floor));
+    }
+
+    private void learn(Batch batch, Batch.Floor floor) {
+        bestFloor = Math.max(bestFloor, floor.floor());
+        if (!newcomer.mayAdopt(batch, floor) || newcomer.misjudged(writtenFrom(floor.head()))) {
+            return;
+        }
+        List<Fingerprint> dead =
+                calls.entrySet().stream()
+                        .filter(e -> e.getValue().writtenAt() < floor.head())
+                        .map(Map.Entry::getKey)
+                        .toList();
+        dead.forEach(this::remove);
+        floor.authors().forEach(this::raise);
+        newcomer.finish();
+    }
+
+    private Set<Fingerprint> writtenFrom(long offset) {
+        return open.entrySet().stream()
+                .filter(e -> e.getValue().writtenAt() >= offset)
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toSet());
+    }
+
+    private void raise(String author, long sequence) {
+        authors.merge(
+                author,
+                new Written(sequence, timeMillis),
+                (a, b) -> a.sequence() >= b.sequence() ? a : b);
+    }
+
     /** Notes how far the stream was read, records that are no batch included. */
     void readTo(long offset) {
         next = Math.max(next, offset);
@@ -93,9 +142,13 @@
     private void settle(LedgerEntry.Settled entry, long offset) {
         Optional<CallState> held = state(entry.call());
         boolean other = held.isPresent() && !held.get().claim().equals(entry.claim());
-        if (other || held.map(CallState::progress).filter(Progress::ended).isPresent()) {
+        if (other && complete()) {
+            return;
+        }
+        if (!other && held.map(CallState::progress).filter(Progress::ended).isPresent()) {
             return;
         }
+        newcomer.settled(entry.call());
         Progress progress = new Progress.Ended(entry.outcome(), entry.answer());
         write(entry.call(), entry.body(), entry.claim(), entry.claimedMillis(), progress, offset);
     }
@@ -107,18 +160,24 @@
                 .ifPresent(held -> remove(entry.call()));
     }
 
-    private void carry(LedgerEntry.Carried entry, long offset) {
+    private void carry(LedgerEntry.Carried entry, long offset, long readTo) {
         if (released.containsKey(entry.claim())) {
             return;
         }
         Optional<CallState> held = state(entry.call());
-        if (held.isPresent()
-                && !(held.get().claim().equals(entry.claim())
-                        && entry.progress().covers(held.get().progress()))) {
+        boolean other = held.isPresent() && !held.get().claim().equals(entry.claim());
+        if (other && complete()) {
             return;
         }
+        if (!other && held.isPresent() && !entry.progress().covers(held.get().progress())) {
+            return;
+        }
+        newcomer.told(entry.call(), readTo);
         Progress progress =
-                held.map(CallState::progress).filter(Progress::ended).orElse(entry.progress());
+                held.filter(state -> !other)
+                        .map(CallState::progress)
+                        .filter(Progress::ended)
+                        .orElse(entry.progress());
         write(entry.call(), entry.body(), entry.claim(), entry.claimedMillis(), progress, offset);
     }
 
@@ -202,18 +261,38 @@
                 : Optional.of(calls.firstEntry().getValue().writtenMillis());
     }
 
-    /**
-     * Tells whether every live call was read: either from the first record on, or up to a record
-     * whose author knew that nothing older than what was read is needed.
-     */
+    /** Tells whether every live call was read. */
     boolean complete() {
-        return start <= 1 || bestFloor >= start;
+        return newcomer.done();
     }
 
-    long floor() {
+    /** Returns the offset before which no live call was written. */
+    private long head() {
         return calls.isEmpty() ? next : calls.firstEntry().getValue().writtenAt();
     }
 
+    /** Returns what newcomers must know. */
+    Batch.Floor floor() {
+        Map<String, Long> sequences = new HashMap<>();
+        authors.forEach((author, written) -> sequences.put(author, written.sequence()));
+        return new Batch.Floor(head(), floorOffset(), sequences);
+    }
+
+    /** Returns the offset at or before which a newcomer must begin to read. */
+    long floorOffset() {
+        long head = head();
+        while (!window.isEmpty() && window.peekFirst().offset() < head) {
+            window.pollFirst();
+        }
+        return window.isEmpty() ? head : Math.min(head, window.peekFirst().readTo());
+    }
+
+    /** Returns the offset up to which calls must be written anew to raise the floor. */
+    long floorHolder() {
+        floorOffset();
+        return window.isEmpty() ? next : window.peekFirst().offset() + 1;
+    }
+
     long bestFloor() {
         return bestFloor;
     }
--- a/src/main/java/hyssopturn/ledger/Outbox.java
+++ b/src/main/java/hyssopturn/ledger/Outbox.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.LongPredicate;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 /**
@@ -25,7 +26,7 @@
 
     private final Backoff backoff;
     private final Deque<LedgerEntry> queue = new ArrayDeque<>();
-    private boolean empty;
+    private boolean withFloor;
     private Optional<Batch> inFlight = Optional.empty();
     private boolean asked;
     private boolean doubtful;
@@ -44,9 +45,9 @@
         queue.addLast(entry);
     }
 
-    /** Asks for a record even if it holds no entry. */
-    void offerNothing() {
-        empty = true;
+    /** Asks for a record that tells the floor, even if it holds no entry. */
+    void offerFloor() {
+        withFloor = true;
     }
 
     /** Tells whether nothing waits to be appended. */
@@ -65,14 +66,15 @@
         if (inFlight.isPresent()) {
             return Optional.of(asked ? sentNanos + APPEND_LIMIT_NANOS : retryNanos);
         }
-        if (queue.isEmpty() && !empty) {
+        if (queue.isEmpty() && !withFloor) {
             return Optional.empty();
         }
         return Optional.of(Math.max(retryNanos, failures > 0 ? now : sentNanos + gapNanos));
     }
 
     /** What a record is put together with. */
-    record Stamp(String author, long timeMillis, long floor) {}
+    record Stamp(
+            String author, long timeMillis, long readTo, Supplier<Optional<Batch.Floor>> floor) {}
 
     /** Returns the record to append now, if one is due. */
     Optional<Batch> next(long now, long gapNanos, Stamp stamp, LongPredicate wanted) {
@@ -105,13 +107,20 @@
             entries.add(entry);
             bytes += size(entry);
         }
-        if (entries.isEmpty() && !empty) {
+        if (entries.isEmpty() && !withFloor) {
             return Optional.empty();
         }
-        empty = false;
+        Optional<Batch.Floor> floor = withFloor ? stamp.floor().get() : Optional.empty();
+        withFloor = false;
         doubtful = false;
         return Optional.of(
-                new Batch(stamp.author(), sequence, stamp.timeMillis(), stamp.floor(), entries));
+                new Batch(
+                        stamp.author(),
+                        sequence,
+                        stamp.timeMillis(),
+                        stamp.readTo(),
+                        floor,
+                        entries));
     }
 
     private static int size(LedgerEntry entry) {
--- a/src/main/java/hyssopturn/ledger/Upkeep.java
+++ b/src/main/java/hyssopturn/ledger/Upkeep.java
@@ -62,7 +62,7 @@
         List<LedgerEntry> entries =
                 fold.oldest(CHUNK, ledgerMillis - halfRetentionMillis, oldOffset());
         entries.forEach(outbox::offer);
-        outbox.offerNothing();
+        outbox.offerFloor();
         fold.forgetAuthors();
         backlog = entries.size() == CHUNK;
         writing = true;
@@ -75,7 +75,7 @@
 
     /** Newcomers need a record that the log still has and that says how far back to read. */
     private boolean floorDue() {
-        return first > 1 && fold.bestFloor() < first && fold.floor() >= first;
+        return first > 1 && fold.bestFloor() < first;
     }
 
     /** A log that drops records early shows it by its first offset. */
@@ -83,7 +83,8 @@
         if (first <= 1) {
             return 0;
         }
-        return end - first < MIN_RETAINED ? first : first + (end - first) / 4;
+        long early = end - first < MIN_RETAINED ? first : first + (end - first) / 4;
+        return fold.floorOffset() < first ? Math.max(early, fold.floorHolder()) : early;
     }
 
     long dueNanos(long ledgerMillis, long now) {
--- a/src/test/java/hyssopturn/ledger/LedgerFoldTest.java
+++ b/src/test/java/hyssopturn/ledger/LedgerFoldTest.java
@@ -145,7 +145,14 @@
         if (author.queue.isEmpty()) {
             return;
         }
-        Batch batch = new Batch(author.name, ++author.sequence, stream.size(), 0, author.queue);
+        Batch batch =
+                new Batch(
+                        author.name,
+                        ++author.sequence,
+                        stream.size(),
+                        stream.size() + 1,
+                        Optional.empty(),
+                        author.queue);
         author.queue.clear();
         for (int copy = 0; copy < (twice ? 2 : 1); copy++) {
             stream.add(batch);
@@ -244,13 +251,20 @@
         flush(keeper, false);
         after.forEach(this::run);
         authors.forEach(a -> flush(a, false));
-        Batch floor = new Batch("keeper", 99, stream.size(), fold.floor(), List.of());
-        stream.add(floor);
+        boolean enough = fold.floorOffset() >= start;
+        stream.add(
+                new Batch(
+                        "keeper",
+                        99,
+                        stream.size(),
+                        stream.size() + 1,
+                        Optional.of(fold.floor()),
+                        List.of()));
         late.restart(start);
         for (int offset = start; offset <= stream.size(); offset++) {
             late.apply(offset, stream.get(offset - 1));
         }
-        assertThat(late.complete(), is(fold.floor() >= start));
+        assertThat(late.complete(), is(enough));
         if (late.complete()) {
             assertThat(seen(late), is(naive.seen));
         }
--- a/src/test/java/hyssopturn/ledger/SimulatedNode.java
+++ b/src/test/java/hyssopturn/ledger/SimulatedNode.java
@@ -257,6 +257,7 @@
                         batch.author(),
                         batch.sequence(),
                         batch.timeMillis(),
+                        batch.readTo(),
                         batch.floor(),
                         entries));
     }
