--- a/src/main/java/hyssopturn/cli/NodeCommand.java
+++ b/src/main/java/hyssopturn/cli/NodeCommand.java
@@ -1,5 +1,6 @@
 package hyssopturn.cli;
 
+import hyssopturn.admit.AdmitSettings;
 import hyssopturn.front.FrontLimits;
 import hyssopturn.node.NodeSettings;
 
@@ -11,7 +12,6 @@
 
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 
 /** Runs one node until it is told to stop. */
 @Command(
@@ -47,11 +47,7 @@
     }
 
     private static void stop(Daemon daemon, Settings settings) {
-        daemon.node()
-                .drain()
-                .completeOnTimeout(
-                        null, settings.get(Options.DRAIN_TIMEOUT).toMillis(), TimeUnit.MILLISECONDS)
-                .join();
+        daemon.drain(settings.get(Options.DRAIN_TIMEOUT));
         daemon.close();
     }
 
@@ -85,6 +81,14 @@
                 settings.get(Options.LOG_APPENDS),
                 settings.get(Options.ANSWER_KEEP),
                 settings.get(Options.ANSWER_BYTES),
-                settings.get(Options.EVENT_CAPACITY));
+                settings.get(Options.EVENT_CAPACITY),
+                new AdmitSettings(
+                        settings.get(Options.ADMIT_POLICY),
+                        settings.get(Options.ADMIT_LIMIT),
+                        Math.min(
+                                settings.get(Options.ADMIT_INITIAL_LIMIT),
+                                settings.get(Options.ADMIT_MAX_LIMIT)),
+                        settings.get(Options.ADMIT_MAX_LIMIT),
+                        settings.get(Options.ADMIT_QUEUE)));
     }
 }
--- a/src/main/java/hyssopturn/node/Node.java
+++ b/src/main/java/hyssopturn/node/Node.java
@@ -2,9 +2,10 @@
 
 import com.google.common.flogger.FluentLogger;
 
-import hyssopturn.admit.OpenAdmission;
+import hyssopturn.admit.ScheduledAdmission;
 import hyssopturn.config.ConfigController;
 import hyssopturn.config.Seal;
+import hyssopturn.config.Snapshotter;
 import hyssopturn.event.Detail;
 import hyssopturn.event.EventRing;
 import hyssopturn.event.HybridClock;
@@ -19,6 +20,8 @@
 import hyssopturn.filter.LedgerFilter;
 import hyssopturn.filter.OutcomeFilter;
 import hyssopturn.filter.RunFilter;
+import hyssopturn.lease.LeaseController;
+import hyssopturn.lease.LeaseTiming;
 import hyssopturn.ledger.Ledger;
 import hyssopturn.ledger.LedgerSettings;
 import hyssopturn.ledger.LogLedger;
@@ -28,6 +31,11 @@
 import hyssopturn.model.AnswerEvent;
 import hyssopturn.model.Config;
 import hyssopturn.model.RequestId;
+import hyssopturn.model.Work;
+import hyssopturn.place.DemandMeter;
+import hyssopturn.place.Links;
+import hyssopturn.place.PlacementController;
+import hyssopturn.place.ServingVersions;
 import hyssopturn.port.Instance;
 import hyssopturn.route.RoundRobinChooser;
 import hyssopturn.run.Answers;
@@ -40,6 +48,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 
 /** One entry instance: controllers that keep its state and filters that handle requests. */
@@ -51,10 +60,16 @@
     private final MeterRegistry meters;
     private final EventRing events;
     private final ConfigController config;
+    private final LeaseController lease;
+    private final Snapshotter snapshotter;
+    private final PlacementController placement;
+    private final DemandMeter demand;
+    private final ServingVersions versions = new ServingVersions();
     private final Directory directory;
     private final LogLedger ledger;
     private final Answers answers;
     private final Attainment attainment;
+    private final ScheduledAdmission admission;
     private final DrainFilter drain = new DrainFilter();
     private final FilterChain filters;
     private Instance self;
@@ -93,11 +108,49 @@
                         ports.log(),
                         ports.clock(),
                         ports.random());
+        admission = new ScheduledAdmission(settings.admit(), ports.clock());
         answers = new Answers(ports.clock(), settings.answerKeep(), settings.answerBytes());
         attainment = new Attainment(meters);
+        demand = new DemandMeter(ports.clock());
+        lease = lease();
+        snapshotter =
+                new Snapshotter(
+                        config,
+                        ports.log(),
+                        ports.clock(),
+                        () -> lease.term().isPresent(),
+                        settings.logRetention(),
+                        meters);
+        placement = placement();
         filters = filters(settings);
     }
 
+    private LeaseController lease() {
+        return new LeaseController(
+                self.id(),
+                ports.log(),
+                ports.clock(),
+                new SplittableRandom(ports.random().nextLong()),
+                LeaseTiming.STANDARD,
+                held -> events.record(new Detail.NodeState(held ? "lease-taken" : "lease-lost")),
+                meters);
+    }
+
+    private PlacementController placement() {
+        return new PlacementController(
+                new PlacementController.Outside(
+                        config::current,
+                        directory::view,
+                        ports.engines(),
+                        ports.weights(),
+                        ports.clock()),
+                lease,
+                LeaseTiming.STANDARD,
+                demand,
+                Links.BY_DISTANCE,
+                meters);
+    }
+
     private FilterChain filters(NodeSettings settings) {
         return new FilterChain(
                 List.of(
@@ -107,7 +160,7 @@
                         new ClassFilter(events),
                         new AttainmentFilter(attainment, ports.clock()),
                         new LedgerFilter(ledger, ports.clock(), events),
-                        new AdmitFilter(new OpenAdmission(), ports.clock()),
+                        new AdmitFilter(admission, ports.clock()),
                         new RunFilter(
                                 new NaiveDriver(
                                         ports.engines(),
@@ -124,9 +177,13 @@
     /** Starts the controllers. */
     public void start() {
         config.listen(c -> events.record(new Detail.ConfigInForce(c.version())));
+        config.listen(admission::configured);
         config.start();
         directory.start();
         ledger.start();
+        lease.start();
+        snapshotter.start();
+        placement.start();
         announce();
         state("started");
     }
@@ -151,7 +208,11 @@
      */
     public RequestId submit(Exchange.Call call) {
         RequestId request = new RequestId(uniqueName());
-        Exchange exchange = new Exchange(request, call, config.current(), ports.clock().nanos());
+        Config serving = versions.choose(config.current(), directory.view());
+        Exchange exchange = new Exchange(request, call, serving, ports.clock().nanos());
+        serving.workClass(call.workClass())
+                .filter(c -> c.work() instanceof Work.Generate)
+                .ifPresent(c -> demand.count(((Work.Generate) c.work()).model()));
         answers.start(request, Multi.createFrom().deferred(() -> filters.handle(exchange)));
         return request;
     }
@@ -203,10 +264,17 @@
         return drain.drain().thenCompose(idle -> ledger.flush());
     }
 
+    private void stopDuties() {
+        placement.stop();
+        snapshotter.stop();
+        lease.stop();
+    }
+
     /** Stops the controllers at once. */
     public void stop() {
         stopped = true;
         config.stop();
+        stopDuties();
         directory.stop();
         ledger.stop();
         state("stopped");
@@ -248,6 +316,15 @@
         return directory.view();
     }
 
+    /**
+     * Returns the node's admission.
+     *
+     * @return queues and limits
+     */
+    public ScheduledAdmission admission() {
+        return admission;
+    }
+
     /**
      * Returns the recent events.
      *
