--- a/src/main/java/hyssopturn/front/StatusForm.java
+++ b/src/main/java/hyssopturn/front/StatusForm.java
@@ -14,7 +14,7 @@
 /** JSON form of a node's state. */
 final class StatusForm {
     /** Least age of a claim that is shown; younger ones run. */
-    private static final Duration IN_DOUBT_AGE = Duration.ofSeconds(10);
+    private static final Duration IN_DOUBT_AGE = Duration.ofSeconds(5);
 
     private StatusForm() {}
 
--- a/src/test/java/hyssopturn/ledger/LedgerMeasure.java
+++ b/src/test/java/hyssopturn/ledger/LedgerMeasure.java
@@ -194,8 +194,8 @@
         long cpu = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - cpuBefore;
         long used = usedBytes() - before;
         print(
-                "keys=%d records=%d log bytes a claim=%d an outcome=%d memory bytes a key=%d fold=%.2fs"
-                        + " CPU a key=%.1fus",
+                "keys=%d records=%d log bytes a claim=%d an outcome=%d memory bytes a key=%d"
+                        + " fold=%.2fs CPU a key=%.1fus",
                 fold.size(),
                 records.size(),
                 claimBytes / keys,
