--- a/src/main/java/hyssopturn/log/LogFollower.java
+++ b/src/main/java/hyssopturn/log/LogFollower.java
@@ -81,8 +81,8 @@
             }
             mine = ++attempt;
             from = next;
-            // after a failure the answer must come at once, to show that the log is back
-            wait = failing ? Duration.ZERO : WAIT;
+            // the first answer, also after a failure, must come at once to show that the log is there
+            wait = failing || mine == 1 ? Duration.ZERO : WAIT;
             limit = clock.after(READ_LIMIT, () -> failed(mine, "no answer in time"));
         }
         log.read(stream, from, PAGE, wait)
