--- a/src/main/java/hyssopturn/log/LogFollower.java
+++ b/src/main/java/hyssopturn/log/LogFollower.java
@@ -81,7 +81,8 @@
             }
             mine = ++attempt;
             from = next;
-            // the first answer, also after a failure, must come at once to show that the log is there
+            // the first answer, also after a failure, must come at once to show that the log is
+            // there
             wait = failing || mine == 1 ? Duration.ZERO : WAIT;
             limit = clock.after(READ_LIMIT, () -> failed(mine, "no answer in time"));
         }
