Let carried entries and claims say what is known when a record is built

Change: entries are made fresh when they are put into a record; a claim of a call that somebody owns by then is not appended at all.

--- a/src/main/java/hyssopturn/ledger/LedgerCore.java
+++ b/src/main/java/hyssopturn/ledger/LedgerCore.java
@@ -371,12 +371,35 @@
                         ledgerMillis(now),
                         fold.next(),
                         () -> whole ? Optional.of(fold.floor()) : Optional.empty());
-        outbox.next(now, pace.gapNanos(now), stamp, claims::containsKey).ifPresent(this::append);
+        outbox.next(now, pace.gapNanos(now), stamp, e -> fresh(e, now)).ifPresent(this::append);
         List<LedgerAction> done = actions;
         actions = new ArrayList<>();
         return done;
     }
 
+    /** A record tells what was read before it, so nothing in it may be older. */
+    private Optional<LedgerEntry> fresh(LedgerEntry entry, long now) {
+        return switch (entry) {
+            case LedgerEntry.Claimed claimed -> fresh(claimed, now);
+            case LedgerEntry.Carried carried -> fold.fresh(carried);
+            case LedgerEntry.Settled settled -> Optional.of(settled);
+            case LedgerEntry.Released released -> Optional.of(released);
+        };
+    }
+
+    private Optional<LedgerEntry> fresh(LedgerEntry.Claimed claimed, long now) {
+        Ask ask = claims.get(claimed.number());
+        if (ask == null) {
+            return Optional.empty();
+        }
+        if (fold.state(claimed.call()).isPresent()) {
+            claims.remove(claimed.number());
+            decide(ask, now);
+            return Optional.empty();
+        }
+        return Optional.of(claimed);
+    }
+
     private void append(Batch batch) {
         for (LedgerEntry entry : batch.entries()) {
             if (entry instanceof LedgerEntry.Claimed claimed) {
--- a/src/main/java/hyssopturn/ledger/LedgerFold.java
+++ b/src/main/java/hyssopturn/ledger/LedgerFold.java
@@ -246,6 +246,22 @@
         return found;
     }
 
+    /** Makes a carried entry say what is known now; empty if its claim holds no more. */
+    Optional<LedgerEntry> fresh(LedgerEntry.Carried entry) {
+        return state(entry.call())
+                .filter(held -> held.claim().equals(entry.claim()))
+                .map(
+                        held ->
+                                new LedgerEntry.Carried(
+                                        entry.call(),
+                                        held.body(),
+                                        held.claim(),
+                                        held.claimedMillis(),
+                                        entry.progress().covers(held.progress())
+                                                ? entry.progress()
+                                                : held.progress()));
+    }
+
     boolean anyOlder(long beforeMillis, long beforeOffset) {
         return !calls.isEmpty() && old(calls.firstEntry().getValue(), beforeMillis, beforeOffset);
     }
--- a/src/main/java/hyssopturn/ledger/Outbox.java
+++ b/src/main/java/hyssopturn/ledger/Outbox.java
@@ -8,7 +8,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.LongPredicate;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -76,8 +76,16 @@
     record Stamp(
             String author, long timeMillis, long readTo, Supplier<Optional<Batch.Floor>> floor) {}
 
-    /** Returns the record to append now, if one is due. */
-    Optional<Batch> next(long now, long gapNanos, Stamp stamp, LongPredicate wanted) {
+    /**
+     * Returns the record to append now, if one is due.
+     *
+     * @param fresh makes an entry say what its author knows now, or drops it
+     */
+    Optional<Batch> next(
+            long now,
+            long gapNanos,
+            Stamp stamp,
+            Function<LedgerEntry, Optional<LedgerEntry>> fresh) {
         if (asked && now - sentNanos >= APPEND_LIMIT_NANOS) {
             doubt(now);
         }
@@ -86,7 +94,7 @@
             return Optional.empty();
         }
         if (inFlight.isEmpty()) {
-            inFlight = group(stamp, wanted);
+            inFlight = group(stamp, fresh);
         }
         if (inFlight.isPresent()) {
             asked = true;
@@ -96,16 +104,13 @@
         return inFlight;
     }
 
-    private Optional<Batch> group(Stamp stamp, LongPredicate wanted) {
+    private Optional<Batch> group(Stamp stamp, Function<LedgerEntry, Optional<LedgerEntry>> fresh) {
         List<LedgerEntry> entries = new ArrayList<>();
         int bytes = 0;
         while (!queue.isEmpty() && entries.size() < MAX_ENTRIES && bytes < MAX_BYTES) {
-            LedgerEntry entry = queue.pollFirst();
-            if (entry instanceof LedgerEntry.Claimed claim && !wanted.test(claim.number())) {
-                continue;
-            }
-            entries.add(entry);
-            bytes += size(entry);
+            Optional<LedgerEntry> entry = fresh.apply(queue.pollFirst());
+            entry.ifPresent(entries::add);
+            bytes += entry.map(Outbox::size).orElse(0);
         }
         if (entries.isEmpty() && !withFloor) {
             return Optional.empty();
