--- a/src/main/java/hyssopturn/ledger/Outbox.java
+++ b/src/main/java/hyssopturn/ledger/Outbox.java
@@ -8,7 +8,8 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.LongPredicate;
+import java.util.function.Function;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 /**
@@ -25,7 +26,7 @@
 
     private final Backoff backoff;
     private final Deque<LedgerEntry> queue = new ArrayDeque<>();
-    private boolean empty;
+    private boolean withFloor;
     private Optional<Batch> inFlight = Optional.empty();
     private boolean asked;
     private boolean doubtful;
@@ -44,9 +45,9 @@
         queue.addLast(entry);
     }
 
-    /** Asks for a record even if it holds no entry. */
-    void offerNothing() {
-        empty = true;
+    /** Asks for a record that tells the floor, even if it holds no entry. */
+    void offerFloor() {
+        withFloor = true;
     }
 
     /** Tells whether nothing waits to be appended. */
@@ -65,17 +66,26 @@
         if (inFlight.isPresent()) {
             return Optional.of(asked ? sentNanos + APPEND_LIMIT_NANOS : retryNanos);
         }
-        if (queue.isEmpty() && !empty) {
+        if (queue.isEmpty() && !withFloor) {
             return Optional.empty();
         }
         return Optional.of(Math.max(retryNanos, failures > 0 ? now : sentNanos + gapNanos));
     }
 
     /** What a record is put together with. */
-    record Stamp(String author, long timeMillis, long floor) {}
+    record Stamp(
+            String author, long timeMillis, long readTo, Supplier<Optional<Batch.Floor>> floor) {}
 
-    /** Returns the record to append now, if one is due. */
-    Optional<Batch> next(long now, long gapNanos, Stamp stamp, LongPredicate wanted) {
+    /**
+     * Returns the record to append now, if one is due.
+     *
+     * @param fresh makes an entry say what its author knows now, or drops it
+     */
+    Optional<Batch> next(
+            long now,
+            long gapNanos,
+            Stamp stamp,
+            Function<LedgerEntry, Optional<LedgerEntry>> fresh) {
         if (asked && now - sentNanos >= APPEND_LIMIT_NANOS) {
             doubt(now);
         }
@@ -84,7 +94,7 @@
             return Optional.empty();
         }
         if (inFlight.isEmpty()) {
-            inFlight = group(stamp, wanted);
+            inFlight = group(stamp, fresh);
         }
         if (inFlight.isPresent()) {
             asked = true;
@@ -94,24 +104,28 @@
         return inFlight;
     }
 
-    private Optional<Batch> group(Stamp stamp, LongPredicate wanted) {
+    private Optional<Batch> group(Stamp stamp, Function<LedgerEntry, Optional<LedgerEntry>> fresh) {
         List<LedgerEntry> entries = new ArrayList<>();
         int bytes = 0;
         while (!queue.isEmpty() && entries.size() < MAX_ENTRIES && bytes < MAX_BYTES) {
-            LedgerEntry entry = queue.pollFirst();
-            if (entry instanceof LedgerEntry.Claimed claim && !wanted.test(claim.number())) {
-                continue;
-            }
-            entries.add(entry);
-            bytes += size(entry);
+            Optional<LedgerEntry> entry = fresh.apply(queue.pollFirst());
+            entry.ifPresent(entries::add);
+            bytes += entry.map(Outbox::size).orElse(0);
         }
-        if (entries.isEmpty() && !empty) {
+        if (entries.isEmpty() && !withFloor) {
             return Optional.empty();
         }
-        empty = false;
+        Optional<Batch.Floor> floor = withFloor ? stamp.floor().get() : Optional.empty();
+        withFloor = false;
         doubtful = false;
         return Optional.of(
-                new Batch(stamp.author(), sequence, stamp.timeMillis(), stamp.floor(), entries));
+                new Batch(
+                        stamp.author(),
+                        sequence,
+                        stamp.timeMillis(),
+                        stamp.readTo(),
+                        floor,
+                        entries));
     }
 
     private static int size(LedgerEntry entry) {
