--- a/src/test/java/hyssopturn/ledger/SimulatedNode.java
+++ b/src/test/java/hyssopturn/ledger/SimulatedNode.java
@@ -1,5 +1,6 @@
 package hyssopturn.ledger;
 
+import hyssopturn.admit.RetryBudget;
 import hyssopturn.event.EventRing;
 import hyssopturn.event.HybridClock;
 import hyssopturn.filter.AccountFilter;
@@ -17,10 +18,12 @@
 import hyssopturn.port.Clock;
 import hyssopturn.port.EngineClient.Dial;
 import hyssopturn.port.InDoubtException;
+import hyssopturn.port.Instance;
 import hyssopturn.port.LogPage;
 import hyssopturn.port.LogService;
 import hyssopturn.port.RefusedException;
 import hyssopturn.port.ServiceClient;
+import hyssopturn.run.Evidence;
 import hyssopturn.run.ServiceDriver;
 
 import io.smallrye.mutiny.Multi;
@@ -63,7 +66,16 @@
         SplittableRandom random = new SplittableRandom(name.hashCode());
         ledger = new LogLedger(name, settings, new NodeLog(), this, random);
         EventRing events = new EventRing(new InstanceId(name), new HybridClock(this), 10);
-        ServiceDriver driver = new ServiceDriver(this::send, () -> view, random, events);
+        ServiceDriver driver =
+                new ServiceDriver(
+                        new ServiceDriver.Parts(
+                                this::send,
+                                () -> view,
+                                new RetryBudget(),
+                                new NoEvidence(),
+                                this,
+                                random,
+                                events));
         filters =
                 new FilterChain(
                         List.of(
@@ -74,6 +86,15 @@
         ledger.start();
     }
 
+    /** Takes in nothing: the view of these nodes never changes. */
+    private static final class NoEvidence implements Evidence {
+        @Override
+        public void unreachable(Instance endpoint) {}
+
+        @Override
+        public void leaving(Instance endpoint) {}
+    }
+
     void handle(Exchange exchange, Consumer<AnswerEvent> receiver) {
         deliver(() -> filters.handle(exchange).subscribe().with(e -> ifAlive(receiver, e)));
     }
