--- /dev/null
+++ b/src/main/java/hyssopturn/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Links between nodes over TCP, and the wire form of what goes over them. */
+package hyssopturn.peer;
