Decide membership by incarnation and exchange what differs

Every node polled the list and every engine, and nobody told anybody. Answers are picked up at any node.

--- a/src/main/java/hyssopturn/bench/LoopbackPath.java
+++ b/src/main/java/hyssopturn/bench/LoopbackPath.java
@@ -22,6 +22,7 @@
 import hyssopturn.port.EngineClient.Step;
 import hyssopturn.port.EngineClient.StepResult;
 import hyssopturn.port.Instance;
+import hyssopturn.port.PeerLink;
 import hyssopturn.standin.EngineProfile;
 import hyssopturn.standin.ReferenceModel;
 import hyssopturn.standin.StandinHost;
@@ -113,6 +114,7 @@
                         adapter,
                         new HttpEngines(caller),
                         new HttpServices(caller, TIMEOUT),
+                        PeerLink.NONE,
                         clock,
                         new SplittableRandom(1));
         PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
--- a/src/main/java/hyssopturn/bench/StalledPath.java
+++ b/src/main/java/hyssopturn/bench/StalledPath.java
@@ -17,6 +17,7 @@
 import hyssopturn.port.EngineClient.Holding;
 import hyssopturn.port.EngineClient.Phase;
 import hyssopturn.port.Instance;
+import hyssopturn.port.PeerLink;
 import hyssopturn.port.WeightStore;
 import hyssopturn.standin.EngineProfile;
 import hyssopturn.standin.FakeEngine;
@@ -102,6 +103,7 @@
                         new MemoryWeights(new WeightStore.Weights(LAYERS, 1, 1)),
                         engines,
                         new LocalServices(),
+                        PeerLink.NONE,
                         clock,
                         new SplittableRandom(1));
         Address self = new Address("10.0.0.2", 1);
--- a/src/main/java/hyssopturn/bench/World.java
+++ b/src/main/java/hyssopturn/bench/World.java
@@ -19,6 +19,7 @@
 import hyssopturn.standin.LocalServices;
 import hyssopturn.standin.MemoryInstances;
 import hyssopturn.standin.MemoryLog;
+import hyssopturn.standin.MemoryPeers;
 import hyssopturn.standin.MemoryWeights;
 import hyssopturn.standin.VirtualClock;
 
@@ -32,6 +33,7 @@
 
 /** Whole nodes and all stand-ins in one thread, under virtual time. */
 final class World {
+    private static final long PEER_SEED = 5;
     private static final Duration LIST_LAG = Duration.ofSeconds(1);
     private static final Duration FOREVER = Duration.ofDays(10);
     private static final Duration SERVICE_TIME = Duration.ofMillis(20);
@@ -47,6 +49,7 @@
     private final Fleet fleet;
     private final long seed;
     private final VirtualClock clock = new VirtualClock(0);
+    private final MemoryPeers peers = new MemoryPeers(clock, new Random(PEER_SEED));
     private final MemoryLog log = new MemoryLog(clock);
     private final MemoryInstances instances = new MemoryInstances(clock, LIST_LAG, FOREVER);
     private final LocalEngines engines = new LocalEngines(clock);
@@ -117,15 +120,27 @@
         Instance self = instance(id, new Instance.Role.Node(address), address, zone);
         NodeSettings settings = NodeSettings.trial(zone).withAdmit(variant.admit());
         Node node =
-                new Node(self, settings, ports(seed * 1_000 + number), new SimpleMeterRegistry());
+                new Node(
+                        self,
+                        settings,
+                        ports(id, seed * 1_000 + number),
+                        new SimpleMeterRegistry());
         node.start();
         return node;
     }
 
-    private Ports ports(long nodeSeed) {
+    private Ports ports(InstanceId id, long nodeSeed) {
         WeightStore weights =
                 new MemoryWeights(new WeightStore.Weights(Site.LAYERS, 64L << 20, 1L << 30));
-        return new Ports(log, instances, weights, engines, services, clock, new Random(nodeSeed));
+        return new Ports(
+                log,
+                instances,
+                weights,
+                engines,
+                services,
+                peers.link(id),
+                clock,
+                new Random(nodeSeed));
     }
 
     private void plan(Fault fault) {
--- a/src/main/java/hyssopturn/cli/Daemon.java
+++ b/src/main/java/hyssopturn/cli/Daemon.java
@@ -9,6 +9,8 @@
 import hyssopturn.node.NodeSettings;
 import hyssopturn.node.Ports;
 import hyssopturn.node.SystemClock;
+import hyssopturn.peer.LinkSettings;
+import hyssopturn.peer.NettyLink;
 import hyssopturn.port.Instance;
 import hyssopturn.wire.HttpCaller;
 import hyssopturn.wire.HttpEngines;
@@ -25,6 +27,7 @@
 import java.net.ServerSocket;
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** A node with its adapters and servers, running in this process. */
@@ -34,6 +37,7 @@
 
     private final SystemClock clock = new SystemClock(TIMER_THREADS);
     private final HttpCaller caller;
+    private final NettyLink links;
     private final Node node;
     private final HttpServer server;
 
@@ -55,6 +59,18 @@
         caller = new HttpCaller(vertx, network.connectTimeout(), network.engineTimeout());
         PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         HttpPlatform platform = new HttpPlatform(caller, network.platform(), network.logTimeout());
+        int port = network.port() == 0 ? freePort(network.host()) : network.port();
+        int peerPort = network.peerPort() == 0 ? freePort(network.host()) : network.peerPort();
+        InstanceId id = new InstanceId(network.id());
+        links =
+                new NettyLink(
+                        LinkSettings.standard(
+                                id,
+                                new Address(network.host(), peerPort),
+                                settings.peerSecret(),
+                                network.connectTimeout()),
+                        this::peerAddress,
+                        meters);
         Ports ports =
                 new Ports(
                         platform,
@@ -62,13 +78,12 @@
                         platform,
                         new HttpEngines(caller),
                         new HttpServices(caller, network.serviceTimeout()),
+                        links,
                         clock,
                         new SecureRandom());
-        int port = network.port() == 0 ? freePort(network.host()) : network.port();
-        int peerPort = network.peerPort() == 0 ? freePort(network.host()) : network.peerPort();
         Instance self =
                 new Instance(
-                        new InstanceId(network.id()),
+                        id,
                         clock.wallMillis(),
                         new Instance.Role.Node(new Address(network.host(), peerPort)),
                         new Address(network.host(), port),
@@ -95,6 +110,11 @@
         }
     }
 
+    /** Links may come before the node is assembled; none is accepted until then. */
+    private Optional<Address> peerAddress(InstanceId id) {
+        return Optional.ofNullable(node()).flatMap(n -> n.peerAddress(id));
+    }
+
     Node node() {
         return node;
     }
@@ -116,6 +136,7 @@
     public void close() {
         node.stop();
         server.close();
+        links.close();
         caller.close();
         clock.close();
     }
--- a/src/main/java/hyssopturn/member/View.java
+++ b/src/main/java/hyssopturn/member/View.java
@@ -6,15 +6,23 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * What a node knows of the other instances; immutable.
  *
- * @param nodes nodes of this system
- * @param engines model engines that may get work
+ * @param nodes nodes of this system, marked if they leave
+ * @param engines model engines that this node may send work to
  * @param services plain services that may get work
+ * @param allEngines model engines that any node may send work to
+ * @param unreachable nodes that do not answer
  */
-public record View(List<Instance> nodes, List<EngineView> engines, List<Instance> services) {
+public record View(
+        List<Instance> nodes,
+        List<EngineView> engines,
+        List<Instance> services,
+        List<EngineView> allEngines,
+        Set<InstanceId> unreachable) {
     /** A view of nobody. */
     public static final View EMPTY = new View(List.of(), List.of(), List.of());
 
@@ -23,6 +31,19 @@
         nodes = List.copyOf(nodes);
         engines = List.copyOf(engines);
         services = List.copyOf(services);
+        allEngines = List.copyOf(allEngines);
+        unreachable = Set.copyOf(unreachable);
+    }
+
+    /**
+     * Creates a view in which this node may send work to every engine and every node answers.
+     *
+     * @param nodes nodes of this system
+     * @param engines model engines that may get work
+     * @param services plain services that may get work
+     */
+    public View(List<Instance> nodes, List<EngineView> engines, List<Instance> services) {
+        this(nodes, engines, services, engines, Set.of());
     }
 
     /**
@@ -33,6 +54,11 @@
      */
     public record EngineView(Instance instance, EngineReport report) {}
 
+    /** The same view before this node knows which endpoints leave. */
+    View withoutEndpoints() {
+        return new View(nodes, List.of(), List.of(), List.of(), unreachable);
+    }
+
     /**
      * Finds services by name.
      *
--- a/src/main/java/hyssopturn/node/Node.java
+++ b/src/main/java/hyssopturn/node/Node.java
@@ -27,12 +27,17 @@
 import hyssopturn.ledger.LedgerSettings;
 import hyssopturn.ledger.LogLedger;
 import hyssopturn.member.Directory;
+import hyssopturn.member.MemberSettings;
 import hyssopturn.member.View;
 import hyssopturn.metric.Attainment;
+import hyssopturn.model.Address;
 import hyssopturn.model.AnswerEvent;
 import hyssopturn.model.Config;
+import hyssopturn.model.InstanceId;
 import hyssopturn.model.RequestId;
 import hyssopturn.model.Work;
+import hyssopturn.peer.MemberCodec;
+import hyssopturn.peer.RemoteAnswers;
 import hyssopturn.place.DemandMeter;
 import hyssopturn.place.Links;
 import hyssopturn.place.PlacementController;
@@ -60,6 +65,7 @@
 /** One entry instance: controllers that keep its state and filters that handle requests. */
 public final class Node {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final char KEEPER_END = '.';
     private static final Duration ANNOUNCE_INTERVAL = Duration.ofSeconds(2);
 
     private final Ports ports;
@@ -74,6 +80,7 @@
     private final Directory directory;
     private final LogLedger ledger;
     private final Answers answers;
+    private final RemoteAnswers remoteAnswers;
     private final Attainment attainment;
     private final ScheduledAdmission admission;
     private final DrainFilter drain = new DrainFilter();
@@ -99,11 +106,15 @@
                         ports.log(), ports.clock(), new Seal(settings.peerSecret()), meters);
         directory =
                 new Directory(
+                        MemberSettings.standard(self, settings.pollInterval()),
                         ports.instances(),
                         ports.engines(),
+                        ports.peers(),
+                        new MemberCodec(),
+                        new ExchangedConfig(config),
                         ports.clock(),
-                        events,
-                        settings.pollInterval());
+                        ports.random(),
+                        events);
         ledger =
                 new LogLedger(
                         uniqueName(),
@@ -121,6 +132,7 @@
                         settings.answerKeep(),
                         settings.answerBytes(),
                         settings.callerGrace());
+        remoteAnswers = new RemoteAnswers(ports.peers(), ports.clock(), answers::read);
         attainment = new Attainment(meters);
         demand = new DemandMeter(ports.clock());
         lease = lease();
@@ -267,14 +279,36 @@
     }
 
     /**
-     * Reads an answer.
+     * Reads an answer, at the node that keeps it if that is another one.
      *
-     * @param request name of the request
+     * @param request name of the request, which begins with the name of its node
      * @param from number of events to skip
-     * @return the rest of the answer, empty if it is not kept here
+     * @return the rest of the answer, empty if it should be kept here and is not
      */
     public Optional<Multi<AnswerEvent>> answer(RequestId request, int from) {
-        return answers.read(request, from);
+        Optional<Multi<AnswerEvent>> here = answers.read(request, from);
+        Optional<InstanceId> keeper = keeper(request);
+        if (here.isPresent() || keeper.isEmpty() || keeper.get().equals(self.id())) {
+            return here;
+        }
+        return Optional.of(remoteAnswers.read(keeper.get(), request, from));
+    }
+
+    private static Optional<InstanceId> keeper(RequestId request) {
+        int end = request.value().lastIndexOf(KEEPER_END);
+        return Optional.of(request.value().substring(0, Math.max(0, end)))
+                .filter(name -> !name.isBlank())
+                .map(InstanceId::new);
+    }
+
+    /**
+     * Tells where another node accepts links.
+     *
+     * @param id the node
+     * @return its address for links, empty if it is not listed
+     */
+    public Optional<Address> peerAddress(InstanceId id) {
+        return directory.peerAddress(id);
     }
 
     /**
@@ -305,6 +339,7 @@
                         self.zone(),
                         true);
         ports.instances().announce(self);
+        directory.leaving(self.id(), self.incarnation());
         return drain.drain().thenCompose(idle -> ledger.flush());
     }
 
--- a/src/main/java/hyssopturn/node/Ports.java
+++ b/src/main/java/hyssopturn/node/Ports.java
@@ -4,6 +4,7 @@
 import hyssopturn.port.EngineClient;
 import hyssopturn.port.InstanceList;
 import hyssopturn.port.LogService;
+import hyssopturn.port.PeerLink;
 import hyssopturn.port.ServiceClient;
 import hyssopturn.port.WeightStore;
 
@@ -17,6 +18,7 @@
  * @param weights the platform's weight store
  * @param engines calls engines
  * @param services calls services
+ * @param peers links to other nodes
  * @param clock time
  * @param random source of random numbers
  */
@@ -26,5 +28,6 @@
         WeightStore weights,
         EngineClient engines,
         ServiceClient services,
+        PeerLink peers,
         Clock clock,
         RandomGenerator random) {}
--- a/src/main/java/hyssopturn/place/PlacementController.java
+++ b/src/main/java/hyssopturn/place/PlacementController.java
@@ -151,14 +151,14 @@
             steps = steps(view, now);
         }
         Map<InstanceId, View.EngineView> engines = new HashMap<>();
-        view.engines().forEach(e -> engines.put(e.instance().id(), e));
+        view.allEngines().forEach(e -> engines.put(e.instance().id(), e));
         steps.forEach(step -> order(engines.get(step.engine()).instance(), step.holdings()));
     }
 
     private List<Transition.Step> steps(View view, long now) {
         speeds.learn(view);
         List<Demand> demands = demands(outside.config().get());
-        List<Worker> workers = view.engines().stream().map(this::worker).toList();
+        List<Worker> workers = view.allEngines().stream().map(this::worker).toList();
         Plan plan = plan(demands, workers, now);
         Transition.Limits limits =
                 new Transition.Limits(this::layerBytes, budgetBytes(), overdue(plan, workers, now));
@@ -188,7 +188,7 @@
 
     /** Repeats to each engine that checks terms what it holds, so that older terms end there. */
     private void raiseFences(View view, Set<InstanceId> moving, List<Transition.Step> steps) {
-        for (View.EngineView engine : view.engines()) {
+        for (View.EngineView engine : view.allEngines()) {
             InstanceId id = engine.instance().id();
             if (engine.report().loading().isEmpty() && checksTerms(engine) && fenced.add(id)) {
                 if (!moving.contains(id)) {
@@ -209,7 +209,7 @@
             return false;
         }
         boolean checks =
-                view.engines().stream()
+                view.allEngines().stream()
                         .filter(e -> e.instance().id().equals(id))
                         .anyMatch(PlacementController::checksTerms);
         long wait = timing.length().plus(PAUSE_BOUND).toNanos();
--- a/src/main/java/hyssopturn/place/Speeds.java
+++ b/src/main/java/hyssopturn/place/Speeds.java
@@ -15,7 +15,7 @@
     private final Map<String, Double> layerMillis = new HashMap<>();
 
     void learn(View view) {
-        for (View.EngineView engine : view.engines()) {
+        for (View.EngineView engine : view.allEngines()) {
             EngineReport report = engine.report();
             int layers = report.held().stream().mapToInt(h -> h.layers().size()).sum();
             if (layers > 0 && report.stepMillis() > 0) {
