--- a/src/test/java/hyssopturn/member/MembershipFuzzTest.java
+++ b/src/test/java/hyssopturn/member/MembershipFuzzTest.java
@@ -99,7 +99,8 @@
     void lostReportsAreCaught() {
         World world = new World(1, Spread.DIFFERENCES);
         world.cluster.mutate(f -> f.kind() != Fact.Kind.REPORT);
-        assertThrows(AssertionError.class, () -> world.run(List.of()));
+        List<Step> steps = List.of(new Step(Action.RESTART_ENGINE, 3, 2_000));
+        assertThrows(AssertionError.class, () -> world.run(steps));
     }
 
     @Test
