Keep slots for small accounts and move the limit slowly near the target

Cause: under a flood the queue held only what was still feasible, so it seemed to fit and went by latest start time; the limit swung by a third, which stopped starts for longer than requests can wait. Change: a refusal for want of slots keeps the fair mode for 5 s, a tenth of the slots is kept from accounts that had over 2.5 times their share, and the gradient moves slowly near the target.

--- a/src/main/java/hyssopturn/admit/ClassQueue.java
+++ b/src/main/java/hyssopturn/admit/ClassQueue.java
@@ -18,15 +18,16 @@
 final class ClassQueue {
     static final int MAX_IDLE = 4_096;
     private static final long HALF_LIFE_NANOS = 10_000_000_000L;
-    private static final long FORGET_NANOS = 6 * HALF_LIFE_NANOS;
-    private static final double OVER_SERVED = 1.5;
+    private static final long SERVED_HALF_LIFE_NANOS = 30_000_000_000L;
+    private static final long FORGET_NANOS = 2 * SERVED_HALF_LIFE_NANOS;
+    private static final double OVER_SERVED = 2.5;
 
     private final Map<AccountId, AccountQueue> active = new HashMap<>();
     private final LinkedHashMap<AccountId, AccountQueue> idle = new LinkedHashMap<>();
     private final TreeSet<AccountQueue> byTag = new TreeSet<>(AccountQueue.BY_TAG);
     private final Decayed met = new Decayed(HALF_LIFE_NANOS);
     private final Decayed ended = new Decayed(HALF_LIFE_NANOS);
-    private final Decayed served = new Decayed(HALF_LIFE_NANOS);
+    private final Decayed served = new Decayed(SERVED_HALF_LIFE_NANOS);
     private double virtual;
 
     boolean isEmpty() {
@@ -49,7 +50,7 @@
     private AccountQueue activate(AccountId account) {
         AccountQueue queue = idle.remove(account);
         if (queue == null) {
-            queue = new AccountQueue(account, virtual, HALF_LIFE_NANOS);
+            queue = new AccountQueue(account, virtual, SERVED_HALF_LIFE_NANOS);
         }
         queue.tag = Math.max(queue.tag, virtual);
         byTag.add(queue);
--- a/src/main/java/hyssopturn/admit/ConcurrencyLimit.java
+++ b/src/main/java/hyssopturn/admit/ConcurrencyLimit.java
@@ -32,7 +32,7 @@
     final class Aimd implements ConcurrencyLimit {
         private static final double SHRINK = 0.9;
         private static final double STEP = 1;
-        private static final double USED = 0.9;
+        private static final double USED = 0.85;
 
         private final int max;
         private double value;
@@ -60,9 +60,13 @@
     /** Limit that scales with the ratio of allowed to observed time. */
     final class Gradient implements ConcurrencyLimit {
         private static final double MOST_SHRINK = 0.8;
-        private static final double MOST_GROWTH = 1.1;
-        private static final double STEP = 0.5;
-        private static final double USED = 0.9;
+        private static final double MOST_GROWTH = 1.3;
+        private static final double NEAR = 0.7;
+        private static final double FAR = 1.5;
+        private static final double NEAR_GAIN = 0.05;
+        private static final double FAR_GAIN = 0.3;
+        private static final double STEP = 0.1;
+        private static final double USED = 0.85;
 
         private final int max;
         private double value;
@@ -79,7 +83,7 @@
 
         @Override
         public void update(double pressure, int running) {
-            double factor = Math.clamp(1 / pressure, MOST_SHRINK, MOST_GROWTH);
+            double factor = factor(pressure);
             if (factor < 1) {
                 // shrinking from what ran, not from a limit that was never reached
                 value = Math.max(1, Math.min(value, Math.max(running, 1) / USED) * factor);
@@ -87,5 +91,11 @@
                 value = Math.min(max, value * factor + STEP);
             }
         }
+
+        /** Near the target the limit moves more slowly than slots come free, so starts go on. */
+        private static double factor(double pressure) {
+            double gain = pressure < NEAR || pressure > FAR ? FAR_GAIN : NEAR_GAIN;
+            return Math.clamp(1 + gain * (1 / pressure - 1), MOST_SHRINK, MOST_GROWTH);
+        }
     }
 }
--- a/src/main/java/hyssopturn/admit/FairQueue.java
+++ b/src/main/java/hyssopturn/admit/FairQueue.java
@@ -11,13 +11,18 @@
 /**
  * Queue that starts the most urgent request while all can start in time, and otherwise keeps
  * classes even by share of targets met and accounts even by served cost.
+ *
+ * <p>What waits looks feasible soon after the rest was refused, so a refusal for want of slots
+ * keeps the queue in the second mode for a while.
  */
 final class FairQueue implements WaitQueue {
     private static final int ACCOUNT_PART = 2;
+    private static final long STRAINED_NANOS = 5_000_000_000L;
 
     private final Map<ClassName, ClassQueue> classes = new LinkedHashMap<>();
     private final TreeSet<Ticket> byStart = new TreeSet<>(Ticket.BY_LATEST_START);
     private final Demand demand = new Demand();
+    private long strainedUntilNanos = Long.MIN_VALUE;
 
     @Override
     public void add(Ticket ticket) {
@@ -45,10 +50,12 @@
         if (byStart.isEmpty()) {
             return Optional.empty();
         }
-        return Optional.of(demand.exceeds(supply) ? fairest(supply.nowNanos()) : byStart.first());
+        boolean strained = supply.nowNanos() < strainedUntilNanos || demand.exceeds(supply);
+        return strained ? fairest(supply) : Optional.of(byStart.first());
     }
 
-    private Ticket fairest(long now) {
+    private Optional<Ticket> fairest(Supply supply) {
+        long now = supply.nowNanos();
         Comparator<Ticket> order =
                 Comparator.<Ticket, Boolean>comparing(t -> queue(t).headOverServed(now))
                         .thenComparingDouble(t -> attainment(t, now))
@@ -57,7 +64,7 @@
                 .filter(c -> !c.isEmpty())
                 .map(ClassQueue::head)
                 .min(order)
-                .orElseThrow();
+                .filter(t -> supply.free() > supply.reserve() || !queue(t).headOverServed(now));
     }
 
     private double attainment(Ticket ticket, long now) {
@@ -74,6 +81,11 @@
         queue(ticket).started(ticket, nowNanos);
     }
 
+    @Override
+    public void refused(Ticket ticket, long nowNanos) {
+        strainedUntilNanos = nowNanos + STRAINED_NANOS;
+    }
+
     @Override
     public void ended(Ticket ticket, boolean met, long nowNanos) {
         queue(ticket).ended(ticket, met, nowNanos);
--- a/src/main/java/hyssopturn/admit/Pace.java
+++ b/src/main/java/hyssopturn/admit/Pace.java
@@ -13,7 +13,7 @@
     static final long INTERVAL_NANOS = 200_000_000;
     private static final double FIRST_PART = 0.7;
     private static final double ANSWER_PART = 0.5;
-    private static final double MAX_MARGIN = 3;
+    private static final double MAX_MARGIN = 1.6;
     private static final double SMOOTHING = 0.5;
 
     private final Quantile margin;
--- a/src/main/java/hyssopturn/admit/Pool.java
+++ b/src/main/java/hyssopturn/admit/Pool.java
@@ -22,6 +22,7 @@
  * threads; its owner holds a lock around it.
  */
 class Pool {
+    private static final double RESERVE = 0.1;
     private static final double PROMPT_COST = 0.1;
     private static final double NANOS_PER_SECOND = 1e9;
     private static final double RATE_SMOOTHING = 0.2;
@@ -106,6 +107,9 @@
     private void refuse(Ticket ticket, Reason reason, long now, List<Verdict> verdicts) {
         ticket.state = Ticket.State.ENDED;
         queue.ended(ticket, false, now);
+        if (reason == Reason.OVERLOADED) {
+            queue.refused(ticket, now);
+        }
         verdicts.add(new Verdict.Refuse(ticket, reason, RETRY_AFTER));
     }
 
@@ -132,7 +136,11 @@
     private void startWhileRoom(long now, List<Verdict> verdicts) {
         while (room()) {
             WaitQueue.Supply supply =
-                    new WaitQueue.Supply(now, limit.limit() - running, releasesPerSecond);
+                    new WaitQueue.Supply(
+                            now,
+                            limit.limit() - running,
+                            (int) (limit.limit() * RESERVE),
+                            releasesPerSecond);
             Optional<Ticket> next = queue.next(supply);
             if (next.isEmpty()) {
                 return;
--- a/src/main/java/hyssopturn/admit/Predictor.java
+++ b/src/main/java/hyssopturn/admit/Predictor.java
@@ -10,7 +10,7 @@
 final class Predictor {
     private static final double KEEP = 0.99;
     private static final double HIGH_SHARE = 0.95;
-    private static final double MAX_MARGIN = 6;
+    private static final double MAX_MARGIN = 3;
     private static final double MIN_SPREAD = 1;
 
     private final Quantile margin = new Quantile(HIGH_SHARE, 1.2, 1, MAX_MARGIN);
--- a/src/main/java/hyssopturn/admit/WaitQueue.java
+++ b/src/main/java/hyssopturn/admit/WaitQueue.java
@@ -11,7 +11,7 @@
     boolean remove(Ticket ticket);
 
     /**
-     * Finds the request to start next and leaves it in.
+     * Finds the request to start next and leaves it in; empty if none may start now.
      *
      * @param supply what is known of the slots that will come free
      */
@@ -23,6 +23,9 @@
     /** Notes that a request which was taken out starts. */
     default void started(Ticket ticket, long nowNanos) {}
 
+    /** Notes that a request was refused because no slot came free in time. */
+    default void refused(Ticket ticket, long nowNanos) {}
+
     /** Notes the end of a request, also of one that never started. */
     default void ended(Ticket ticket, boolean met, long nowNanos) {}
 
@@ -37,7 +40,8 @@
      *
      * @param nowNanos time now
      * @param free slots free now
+     * @param reserve slots kept free of accounts that have had more than their share
      * @param perSecond slots that come free a second, infinite if unknown
      */
-    record Supply(long nowNanos, int free, double perSecond) {}
+    record Supply(long nowNanos, int free, int reserve, double perSecond) {}
 }
--- a/src/test/java/hyssopturn/admit/FairQueueTest.java
+++ b/src/test/java/hyssopturn/admit/FairQueueTest.java
@@ -73,7 +73,7 @@
                 }
                 case 4, 5, 6 -> {
                     double rate = op.kind() == 4 ? Double.POSITIVE_INFINITY : 0;
-                    Optional<Ticket> next = queue.next(new Supply(now, 0, rate));
+                    Optional<Ticket> next = queue.next(new Supply(now, 0, -1, rate));
                     if (next.isPresent()) {
                         queue.remove(next.get());
                         queue.started(next.get(), now);
@@ -211,7 +211,7 @@
             }
             Map<String, Integer> served = new HashMap<>();
             for (int i = 0; i < 20; i++) {
-                Ticket next = queue.next(new Supply(i, 0, 0)).orElseThrow();
+                Ticket next = queue.next(new Supply(i, 0, -1, 0)).orElseThrow();
                 queue.remove(next);
                 queue.started(next, i);
                 served.merge(next.ask.account().value(), 1, Integer::sum);
--- a/src/test/java/hyssopturn/admit/NaiveFairQueue.java
+++ b/src/test/java/hyssopturn/admit/NaiveFairQueue.java
@@ -9,10 +9,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /** Fair order worked out anew from the whole history at each question. */
 final class NaiveFairQueue implements WaitQueue {
     private static final double HALF_LIFE = 10e9;
+    private static final double SERVED_HALF_LIFE = 30e9;
 
     private final List<Ticket> waiting = new ArrayList<>();
     private final List<Done> starts = new ArrayList<>();
@@ -73,8 +75,8 @@
 
     private double attainment(Ticket ticket, long now) {
         ClassName name = ticket.workClass.name();
-        double all = sum(ends, now, d -> d.name().equals(name));
-        double good = sum(ends, now, d -> d.name().equals(name) && d.good());
+        double all = sum(ends, HALF_LIFE, now, d -> d.name().equals(name));
+        double good = sum(ends, HALF_LIFE, now, d -> d.name().equals(name) && d.good());
         return (good + 1) / (all + 1) / ticket.workClass.share();
     }
 
@@ -84,17 +86,18 @@
         double own =
                 sum(
                         starts,
+                        SERVED_HALF_LIFE,
                         now,
                         d -> d.name().equals(name) && d.account().equals(ticket.ask.account()));
-        double share = sum(starts, now, d -> d.name().equals(name)) / accounts;
-        return accounts >= 2 && seen.containsKey(key(ticket)) && own > 1.5 * share;
+        double share = sum(starts, SERVED_HALF_LIFE, now, d -> d.name().equals(name)) / accounts;
+        return accounts >= 2 && seen.containsKey(key(ticket)) && own > 2.5 * share;
     }
 
     private static double sum(
-            List<Done> history, long now, java.util.function.Predicate<Done> which) {
+            List<Done> history, double halfLife, long now, Predicate<Done> which) {
         return history.stream()
                 .filter(which)
-                .mapToDouble(d -> d.amount() * Math.pow(0.5, (now - d.at()) / HALF_LIFE))
+                .mapToDouble(d -> d.amount() * Math.pow(0.5, (now - d.at()) / halfLife))
                 .sum();
     }
 
