Let a flood not stand before the others of its class

Cause: the head of a class was the account with the lowest tag; when that was the flooding one, the kept slots stayed empty though others of its class waited. Change: accounts that had over their share come after all others of the class; a test holds it.

--- a/src/main/java/hyssopturn/admit/ClassQueue.java
+++ b/src/main/java/hyssopturn/admit/ClassQueue.java
@@ -91,8 +91,16 @@
         }
     }
 
-    /** Returns the first request of the account that was served least; one must be waiting. */
-    Ticket head() {
+    /**
+     * Returns the first request of the account that was served least, of those that have not had
+     * more than their share if any such waits; one must be waiting.
+     */
+    Ticket head(long nowNanos) {
+        for (AccountQueue queue : byTag) {
+            if (!overServed(queue.account, nowNanos)) {
+                return queue.waiting.first();
+            }
+        }
         return byTag.first().waiting.first();
     }
 
@@ -131,12 +139,8 @@
         met.add(success ? 1 : 0, nowNanos);
     }
 
-    /** Tells whether the next account has had more than its share. */
-    boolean headOverServed(long nowNanos) {
-        return overServed(byTag.first().account, nowNanos);
-    }
-
-    private boolean overServed(AccountId account, long nowNanos) {
+    /** Tells whether an account has had more than its share. */
+    boolean overServed(AccountId account, long nowNanos) {
         AccountQueue queue = active.getOrDefault(account, idle.get(account));
         int accounts = active.size() + idle.size();
         if (queue == null || accounts < 2) {
--- a/src/main/java/hyssopturn/admit/FairQueue.java
+++ b/src/main/java/hyssopturn/admit/FairQueue.java
@@ -57,14 +57,18 @@
     private Optional<Ticket> fairest(Supply supply) {
         long now = supply.nowNanos();
         Comparator<Ticket> order =
-                Comparator.<Ticket, Boolean>comparing(t -> queue(t).headOverServed(now))
+                Comparator.<Ticket, Boolean>comparing(t -> overServed(t, now))
                         .thenComparingDouble(t -> attainment(t, now))
                         .thenComparing(Ticket.BY_LATEST_START);
         return classes.values().stream()
                 .filter(c -> !c.isEmpty())
-                .map(ClassQueue::head)
+                .map(c -> c.head(now))
                 .min(order)
-                .filter(t -> supply.free() > supply.reserve() || !queue(t).headOverServed(now));
+                .filter(t -> supply.free() > supply.reserve() || !overServed(t, now));
+    }
+
+    private boolean overServed(Ticket ticket, long now) {
+        return queue(ticket).overServed(ticket.ask.account(), now);
     }
 
     private double attainment(Ticket ticket, long now) {
--- a/src/test/java/hyssopturn/admit/FairQueueTest.java
+++ b/src/test/java/hyssopturn/admit/FairQueueTest.java
@@ -219,6 +219,27 @@
             assertThat(served, is(Map.of("flood", 10, "small", 10)));
         }
 
+        @Test
+        void floodThatIsNextInTurnDoesNotBlockTheOthersOfItsClass() {
+            FairQueue queue = new FairQueue();
+            long number = 0;
+            for (int i = 0; i < 60; i++) {
+                String account = i < 12 ? "account-" + i % 4 : "flood";
+                Ticket ticket = Tickets.ticket(number++, account, CLASSES.get(0), 10, i);
+                queue.add(ticket);
+                queue.remove(ticket);
+                queue.started(ticket, i);
+            }
+            queue.add(Tickets.ticket(number++, "flood", CLASSES.get(0), 10, 0));
+            Ticket small = Tickets.ticket(number, "account-1", CLASSES.get(0), 10, 5_000);
+            queue.add(small);
+            queue.refused(small, 100);
+            Supply onlyReserve = new Supply(100, 5, 5, 0);
+            assertThat(queue.next(onlyReserve), is(Optional.of(small)));
+            queue.remove(small);
+            assertThat(queue.next(onlyReserve), is(Optional.empty()));
+        }
+
         @Test
         void stateOfIdleAccountsIsBounded() {
             ClassQueue queue = new ClassQueue();
--- a/src/test/java/hyssopturn/admit/NaiveFairQueue.java
+++ b/src/test/java/hyssopturn/admit/NaiveFairQueue.java
@@ -55,7 +55,7 @@
             return mostUrgent();
         }
         return waiting.stream()
-                .filter(t -> heads(t) == t)
+                .filter(t -> heads(t, supply.nowNanos()) == t)
                 .min(
                         Comparator.<Ticket, Boolean>comparing(t -> over(t, supply.nowNanos()))
                                 .thenComparingDouble(t -> attainment(t, supply.nowNanos()))
@@ -63,11 +63,12 @@
     }
 
     /** The ticket that its class would start first. */
-    private Ticket heads(Ticket any) {
+    private Ticket heads(Ticket any, long now) {
         return waiting.stream()
                 .filter(t -> t.workClass.name().equals(any.workClass.name()))
                 .min(
-                        Comparator.<Ticket>comparingDouble(t -> tags.get(key(t)))
+                        Comparator.<Ticket, Boolean>comparing(t -> over(t, now))
+                                .thenComparingDouble(t -> tags.get(key(t)))
                                 .thenComparing(t -> t.ask.account())
                                 .thenComparing(Ticket.BY_LATEST_START))
                 .orElseThrow();
