--- a/src/test/java/hyssopturn/admit/FairQueueTest.java
+++ b/src/test/java/hyssopturn/admit/FairQueueTest.java
@@ -73,7 +73,7 @@
                 }
                 case 4, 5, 6 -> {
                     double rate = op.kind() == 4 ? Double.POSITIVE_INFINITY : 0;
-                    Optional<Ticket> next = queue.next(new Supply(now, 0, rate));
+                    Optional<Ticket> next = queue.next(new Supply(now, 0, -1, rate));
                     if (next.isPresent()) {
                         queue.remove(next.get());
                         queue.started(next.get(), now);
@@ -211,7 +211,7 @@
             }
             Map<String, Integer> served = new HashMap<>();
             for (int i = 0; i < 20; i++) {
-                Ticket next = queue.next(new Supply(i, 0, 0)).orElseThrow();
+                Ticket next = queue.next(new Supply(i, 0, -1, 0)).orElseThrow();
                 queue.remove(next);
                 queue.started(next, i);
                 served.merge(next.ask.account().value(), 1, Integer::sum);
@@ -219,6 +219,27 @@
             assertThat(served, is(Map.of("flood", 10, "small", 10)));
         }
 
+        @Test
+        void floodThatIsNextInTurnDoesNotBlockTheOthersOfItsClass() {
+            FairQueue queue = new FairQueue();
+            long number = 0;
+            for (int i = 0; i < 60; i++) {
+                String account = i < 12 ? "account-" + i % 4 : "flood";
+                Ticket ticket = Tickets.ticket(number++, account, CLASSES.get(0), 10, i);
+                queue.add(ticket);
+                queue.remove(ticket);
+                queue.started(ticket, i);
+            }
+            queue.add(Tickets.ticket(number++, "flood", CLASSES.get(0), 10, 0));
+            Ticket small = Tickets.ticket(number, "account-1", CLASSES.get(0), 10, 5_000);
+            queue.add(small);
+            queue.refused(small, 100);
+            Supply onlyReserve = new Supply(100, 5, 5, 0);
+            assertThat(queue.next(onlyReserve), is(Optional.of(small)));
+            queue.remove(small);
+            assertThat(queue.next(onlyReserve), is(Optional.empty()));
+        }
+
         @Test
         void stateOfIdleAccountsIsBounded() {
             ClassQueue queue = new ClassQueue();
