Carry stamps of hybrid clocks on the links between nodes

Cause: links did not carry stamps, so that an effect at a node whose clock is behind could stand before its cause at another. After: StampedLinkTest: with 5 s between the clocks the effect is stamped after the cause.

--- a/src/main/java/hyssopturn/node/Node.java
+++ b/src/main/java/hyssopturn/node/Node.java
@@ -10,6 +10,7 @@
 import hyssopturn.event.Detail;
 import hyssopturn.event.EventRing;
 import hyssopturn.event.HybridClock;
+import hyssopturn.event.StampedLink;
 import hyssopturn.filter.AccountFilter;
 import hyssopturn.filter.AdmitFilter;
 import hyssopturn.filter.AttainmentFilter;
@@ -43,6 +44,7 @@
 import hyssopturn.place.PlacementController;
 import hyssopturn.place.ServingVersions;
 import hyssopturn.port.Instance;
+import hyssopturn.port.PeerLink;
 import hyssopturn.route.BestRoutes;
 import hyssopturn.route.ObservedCosts;
 import hyssopturn.run.ActivationBudget;
@@ -100,7 +102,9 @@
         this.self = self;
         this.ports = ports;
         this.meters = meters;
-        events = new EventRing(self.id(), new HybridClock(ports.clock()), settings.eventCapacity());
+        HybridClock stamps = new HybridClock(ports.clock());
+        PeerLink peers = new StampedLink(ports.peers(), stamps);
+        events = new EventRing(self.id(), stamps, settings.eventCapacity());
         config =
                 new ConfigController(
                         ports.log(), ports.clock(), new Seal(settings.peerSecret()), meters);
@@ -109,7 +113,7 @@
                         MemberSettings.standard(self, settings.pollInterval()),
                         ports.instances(),
                         ports.engines(),
-                        ports.peers(),
+                        peers,
                         new MemberCodec(),
                         new ExchangedConfig(config),
                         ports.clock(),
@@ -132,7 +136,7 @@
                         settings.answerKeep(),
                         settings.answerBytes(),
                         settings.callerGrace());
-        remoteAnswers = new RemoteAnswers(ports.peers(), ports.clock(), answers::read);
+        remoteAnswers = new RemoteAnswers(peers, ports.clock(), answers::read);
         attainment = new Attainment(meters);
         demand = new DemandMeter(ports.clock());
         lease = lease();
