Unwrap errors of futures in one place

Cause: seven classes took the wrapper off a future's error, each in its own words. No behaviour changes, but that a wrapper without a cause stays as it is everywhere.

--- a/src/main/java/hyssopturn/config/Publisher.java
+++ b/src/main/java/hyssopturn/config/Publisher.java
@@ -1,5 +1,6 @@
 package hyssopturn.config;
 
+import hyssopturn.helper.Causes;
 import hyssopturn.port.Clock;
 import hyssopturn.port.InDoubtException;
 import hyssopturn.port.LogService;
@@ -114,7 +115,7 @@
     }
 
     private void appended(Throwable error) {
-        boolean inDoubt = error != null && cause(error) instanceof InDoubtException;
+        boolean inDoubt = error != null && Causes.of(error) instanceof InDoubtException;
         mayBeAppended = mayBeAppended || error == null || inDoubt;
         if (mayBeAppended) {
             settle();
@@ -123,12 +124,6 @@
         }
     }
 
-    private static Throwable cause(Throwable error) {
-        return error instanceof java.util.concurrent.CompletionException && error.getCause() != null
-                ? error.getCause()
-                : error;
-    }
-
     private void settle() {
         history.readToEnd().whenComplete((line, error) -> settled(error));
     }
--- a/src/main/java/hyssopturn/ledger/LogLedger.java
+++ b/src/main/java/hyssopturn/ledger/LogLedger.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 
+import hyssopturn.helper.Causes;
 import hyssopturn.log.LogFollower;
 import hyssopturn.model.AnswerEvent;
 import hyssopturn.model.Bytes;
@@ -16,7 +17,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.function.LongFunction;
 import java.util.random.RandomGenerator;
 
@@ -206,8 +206,7 @@
         log.append(STREAM, BatchCodec.encode(batch))
                 .whenComplete(
                         (offset, error) -> {
-                            Throwable cause =
-                                    error instanceof CompletionException ? error.getCause() : error;
+                            Throwable cause = Causes.of(error);
                             if (cause == null) {
                                 on(now -> core.appended(batch.sequence(), now));
                             } else if (cause instanceof RefusedException) {
--- a/src/main/java/hyssopturn/run/NaiveDriver.java
+++ b/src/main/java/hyssopturn/run/NaiveDriver.java
@@ -2,6 +2,7 @@
 
 import hyssopturn.event.Detail;
 import hyssopturn.event.EventRing;
+import hyssopturn.helper.Causes;
 import hyssopturn.member.View;
 import hyssopturn.model.AnswerEvent;
 import hyssopturn.model.Bytes;
@@ -20,7 +21,6 @@
 import io.smallrye.mutiny.subscription.MultiEmitter;
 
 import java.util.Optional;
-import java.util.concurrent.CompletionException;
 import java.util.function.Supplier;
 
 /** Baseline driver: one chain, one attempt, no recovery. */
@@ -132,7 +132,7 @@
         }
 
         private void failed(Chain.Stage at, Throwable error) {
-            Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+            Throwable cause = Causes.of(error);
             events.record(
                     generation.request(),
                     new Detail.EndpointFailed(at.engine().id(), cause.toString()));
--- a/src/main/java/hyssopturn/run/RecoveringDriver.java
+++ b/src/main/java/hyssopturn/run/RecoveringDriver.java
@@ -1,6 +1,7 @@
 package hyssopturn.run;
 
 import hyssopturn.event.EventRing;
+import hyssopturn.helper.Causes;
 import hyssopturn.member.View;
 import hyssopturn.model.AnswerEvent;
 import hyssopturn.model.InstanceId;
@@ -20,7 +21,6 @@
 import java.util.HashSet;
 import java.util.Queue;
 import java.util.Set;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
@@ -155,7 +155,7 @@
                                             error == null
                                                     ? new RunEvent.Answered(send.call(), result)
                                                     : new RunEvent.Broke(
-                                                            send.call(), cause(error))));
+                                                            send.call(), Causes.of(error))));
         }
 
         private void move(RunAction.Move move) {
@@ -179,11 +179,7 @@
                                                             move.to().id(),
                                                             position)
                                                     : new RunEvent.MoveBroke(
-                                                            move.attempt(), cause(error))));
-        }
-
-        private static Throwable cause(Throwable error) {
-            return error instanceof CompletionException ? error.getCause() : error;
+                                                            move.attempt(), Causes.of(error))));
         }
 
         private void cancel(Instance engine, int attempt) {
--- a/src/main/java/hyssopturn/run/ServiceDriver.java
+++ b/src/main/java/hyssopturn/run/ServiceDriver.java
@@ -2,6 +2,7 @@
 
 import hyssopturn.admit.RetryBudget;
 import hyssopturn.event.EventRing;
+import hyssopturn.helper.Causes;
 import hyssopturn.member.View;
 import hyssopturn.model.AnswerEvent;
 import hyssopturn.port.Clock;
@@ -18,7 +19,6 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -165,11 +165,7 @@
                                                     ? new CallRun.Event.Answered(
                                                             send.number(), result)
                                                     : new CallRun.Event.Broke(
-                                                            send.number(), cause(error))));
-        }
-
-        private static Throwable cause(Throwable error) {
-            return error instanceof CompletionException ? error.getCause() : error;
+                                                            send.number(), Causes.of(error))));
         }
     }
 }
--- a/src/main/java/hyssopturn/standin/Servers.java
+++ b/src/main/java/hyssopturn/standin/Servers.java
@@ -1,5 +1,6 @@
 package hyssopturn.standin;
 
+import hyssopturn.helper.Causes;
 import hyssopturn.model.Bytes;
 import hyssopturn.model.InstanceId;
 import hyssopturn.model.LayerRange;
@@ -21,7 +22,6 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.function.Function;
 
 /** HTTP servers of the stand-ins. */
@@ -275,7 +275,7 @@
     }
 
     private static void fail(RoutingContext x, Throwable error) {
-        Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+        Throwable cause = Causes.of(error);
         switch (cause) {
             case RefusedException refused ->
                     x.response()
--- a/src/main/java/hyssopturn/wire/HttpEngines.java
+++ b/src/main/java/hyssopturn/wire/HttpEngines.java
@@ -1,5 +1,6 @@
 package hyssopturn.wire;
 
+import hyssopturn.helper.Causes;
 import hyssopturn.model.Address;
 import hyssopturn.model.LayerRange;
 import hyssopturn.model.RequestId;
@@ -11,7 +12,6 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.function.Function;
 
 /** Model engines over HTTP. */
@@ -82,12 +82,8 @@
         return call.apply(Dial.POOLED)
                 .exceptionallyCompose(
                         error ->
-                                cause(error) instanceof InDoubtException
+                                Causes.of(error) instanceof InDoubtException
                                         ? call.apply(Dial.FRESH)
                                         : CompletableFuture.failedFuture(error));
     }
-
-    private static Throwable cause(Throwable error) {
-        return error instanceof CompletionException ? error.getCause() : error;
-    }
 }
