Run on the users' platform: adapter, relay of chains, layers placed under a duty

Cause: the product had no way to run before the users' workers; engines there pass activations on themselves and list themselves in a log. Ruled out: driving single steps from a node (engines relay), membership by gossip (the log lists workers), an own lease (the log's groups deal duties out).

--- /dev/null
+++ b/src/main/java/hyssopturn/catalog/ServiceSpec.java
@@ -0,0 +1,11 @@
+package hyssopturn.catalog;
+
+import java.util.Optional;
+
+/**
+ * A service that requests are routed to.
+ *
+ * @param name its name
+ * @param engine how its engines behave; empty for a plain service
+ */
+public record ServiceSpec(String name, Optional<EngineSpec> engine) {}
--- /dev/null
+++ b/src/main/java/hyssopturn/chain/ChainSearch.java
@@ -0,0 +1,179 @@
+package hyssopturn.chain;
+
+import hyssopturn.catalog.EngineKind;
+import hyssopturn.catalog.EngineSpec;
+import hyssopturn.fleet.Endpoint;
+import hyssopturn.model.InstanceId;
+import hyssopturn.model.LayerRange;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableSet;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Finds the chain that is predicted to answer soonest under the load that the node knows of.
+ *
+ * <p>Shortest path over pairs of a layer and the engine that ran the one before it. An engine may
+ * run a part of the layers that it holds, so a chain may change engines at any boundary of a held
+ * range. Crossing between zones costs the transfer of the prompt's activations over the pipe that
+ * all crossing requests share, so chains within a zone come first and others are the reserve.
+ */
+public final class ChainSearch {
+    /** Time that each hop adds to each token for the message to it, in milliseconds. */
+    private static final double HOP_MILLIS = 0.25;
+
+    /** How many transfers of prompts a request is taken to wait for at a pipe, itself included. */
+    private static final double PIPE_QUEUE = 4;
+
+    private static final double MILLIS = 1_000;
+    private static final double BITS_PER_BYTE = 8;
+    private static final double BITS_PER_MEGABIT = 1_000_000;
+
+    private final EngineSpec spec;
+    private final EngineLoad load;
+
+    /**
+     * Creates a search.
+     *
+     * @param spec how the engines behave
+     * @param load what this node has at them
+     */
+    public ChainSearch(EngineSpec spec, EngineLoad load) {
+        this.spec = spec;
+        this.load = load;
+    }
+
+    /**
+     * Size of the request that a chain is wanted for.
+     *
+     * @param promptTokens tokens to read
+     * @param answerTokens greatest number of tokens to write
+     */
+    public record Size(long promptTokens, long answerTokens) {
+        /**
+         * Counts the tokens that the request may hold at an engine.
+         *
+         * @return number of tokens
+         */
+        public long tokens() {
+            return promptTokens + answerTokens;
+        }
+    }
+
+    private record Label(int layer, Endpoint last, int start, double cost, Label before) {
+        boolean uses(InstanceId id) {
+            return last != null && (last.id().equals(id) || before.uses(id));
+        }
+    }
+
+    private record Vertex(int layer, InstanceId last) {}
+
+    /**
+     * Finds the cheapest chain.
+     *
+     * @param engines engines that may be used
+     * @param zone availability zone of this node
+     * @param size size of the request
+     * @param excluded engines that must not be used
+     * @return the chain, empty if the engines do not hold every layer or have no memory left
+     */
+    public Optional<EngineChain> cheapest(
+            List<Endpoint> engines, String zone, Size size, Set<InstanceId> excluded) {
+        List<Endpoint> candidates = candidates(engines, size, excluded);
+        NavigableSet<Integer> boundaries = boundaries(candidates);
+        Map<Vertex, Double> settled = new HashMap<>();
+        PriorityQueue<Label> open = new PriorityQueue<>((a, b) -> Double.compare(a.cost, b.cost));
+        open.add(new Label(0, null, 0, 0, null));
+        while (!open.isEmpty()) {
+            Label label = open.poll();
+            if (label.layer == spec.layers()) {
+                return Optional.of(chain(label));
+            }
+            InstanceId last = label.last == null ? null : label.last.id();
+            if (settled.putIfAbsent(new Vertex(label.layer, last), label.cost) == null) {
+                extend(label, candidates, boundaries, zone, size, open);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private List<Endpoint> candidates(List<Endpoint> engines, Size size, Set<InstanceId> excluded) {
+        return engines.stream()
+                .filter(e -> e.layers().isPresent() && spec.kind(e.kind()).isPresent())
+                .filter(e -> !excluded.contains(e.id()))
+                .filter(e -> hasRoom(e, size))
+                .toList();
+    }
+
+    private boolean hasRoom(Endpoint engine, Size size) {
+        EngineKind kind = spec.kind(engine.kind()).orElseThrow();
+        int held = engine.layers().orElseThrow().size();
+        return load.tokens(engine.id()) + size.tokens() <= spec.tokensBeside(kind, held);
+    }
+
+    private NavigableSet<Integer> boundaries(List<Endpoint> engines) {
+        NavigableSet<Integer> boundaries = new TreeSet<>(Set.of(spec.layers()));
+        for (Endpoint engine : engines) {
+            boundaries.add(engine.layers().orElseThrow().from());
+            boundaries.add(engine.layers().orElseThrow().to());
+        }
+        return boundaries;
+    }
+
+    private void extend(
+            Label label,
+            List<Endpoint> engines,
+            NavigableSet<Integer> boundaries,
+            String zone,
+            Size size,
+            PriorityQueue<Label> open) {
+        String from = label.last == null ? zone : label.last.zone();
+        for (Endpoint engine : engines) {
+            LayerRange held = engine.layers().orElseThrow();
+            if (held.from() > label.layer || held.to() <= label.layer || label.uses(engine.id())) {
+                continue;
+            }
+            for (int end : boundaries.subSet(label.layer, false, held.to(), true)) {
+                double cost = label.cost + hopCost(engine, end - label.layer, size);
+                if (!from.equals(engine.zone())) {
+                    cost += label.last == null ? HOP_MILLIS : crossingCost(size);
+                }
+                open.add(new Label(end, engine, label.layer, cost, label));
+            }
+        }
+    }
+
+    private double hopCost(Endpoint engine, int layers, Size size) {
+        EngineKind kind = spec.kind(engine.kind()).orElseThrow();
+        double share = (double) layers / spec.layers();
+        double others = load.requests(engine.id());
+        double context = load.tokens(engine.id()) / MILLIS;
+        double step =
+                spec.stepMillis()
+                        + others * spec.perRequestMillis()
+                        + context * spec.contextMillis();
+        double read = size.promptTokens() * MILLIS / spec.readTokensPerSecond();
+        return share * read * kind.readFactor()
+                + size.answerTokens() * (share * step * kind.stepFactor() + HOP_MILLIS);
+    }
+
+    private double crossingCost(Size size) {
+        double prompt = size.promptTokens() * spec.activationBytes() * BITS_PER_BYTE;
+        double transfer = prompt / (spec.pipeMbps() * BITS_PER_MEGABIT) * MILLIS;
+        return PIPE_QUEUE * transfer + size.answerTokens() * HOP_MILLIS;
+    }
+
+    private static EngineChain chain(Label end) {
+        List<Hop> hops = new ArrayList<>();
+        for (Label label = end; label.last != null; label = label.before) {
+            hops.addFirst(new Hop(label.last, new LayerRange(label.start, label.layer)));
+        }
+        return new EngineChain(hops);
+    }
+}
--- /dev/null
+++ b/src/main/java/hyssopturn/chain/EngineChain.java
@@ -0,0 +1,52 @@
+package hyssopturn.chain;
+
+import hyssopturn.helper.Check;
+import hyssopturn.model.InstanceId;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+/**
+ * Engines that together run every layer of a model once and in order.
+ *
+ * @param hops the engines in order
+ */
+public record EngineChain(List<Hop> hops) {
+    /** Checks that each hop begins where the one before it ends, and that no engine comes twice. */
+    public EngineChain {
+        hops = List.copyOf(hops);
+        int next = 0;
+        for (Hop hop : hops) {
+            Check.that(hop.range().from() == next, "hops must follow each other");
+            next = hop.range().to();
+        }
+        long engines = hops.stream().map(h -> h.engine().id()).distinct().count();
+        Check.that(engines == hops.size(), "an engine must not come twice in a chain");
+    }
+
+    /**
+     * Returns the first hop, which requests are sent to.
+     *
+     * @return the hop
+     */
+    public Hop first() {
+        return hops.getFirst();
+    }
+
+    /**
+     * Tells whether an engine is part of the chain.
+     *
+     * @param engine the engine
+     * @return true if it is
+     */
+    public boolean uses(InstanceId engine) {
+        return hops.stream().anyMatch(h -> h.engine().id().equals(engine));
+    }
+
+    @Override
+    public String toString() {
+        return hops.stream()
+                .map(h -> h.engine().id() + "=" + h.range())
+                .collect(Collectors.joining(","));
+    }
+}
--- /dev/null
+++ b/src/main/java/hyssopturn/chain/EngineLoad.java
@@ -0,0 +1,80 @@
+package hyssopturn.chain;
+
+import hyssopturn.model.InstanceId;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Requests and tokens that this node has at each engine; not thread-safe.
+ *
+ * <p>What other nodes send is not known at once. Callers of a zone are spread over its nodes, so
+ * the node takes its own part times the number of nodes that share the zone.
+ */
+public final class EngineLoad {
+    private final int sharers;
+    private final Map<InstanceId, Held> held = new HashMap<>();
+
+    /**
+     * Creates a load of zero.
+     *
+     * @param sharers number of nodes that send about as much to an engine as this one
+     */
+    public EngineLoad(int sharers) {
+        this.sharers = sharers;
+    }
+
+    private record Held(int requests, long tokens) {}
+
+    /**
+     * Adds a request to every engine of a chain.
+     *
+     * @param chain the chain
+     * @param tokens tokens that the request may hold
+     */
+    public void add(EngineChain chain, long tokens) {
+        change(chain, 1, tokens);
+    }
+
+    /**
+     * Takes a request from every engine of a chain.
+     *
+     * @param chain the chain
+     * @param tokens tokens that were added for the request
+     */
+    public void remove(EngineChain chain, long tokens) {
+        change(chain, -1, -tokens);
+    }
+
+    private void change(EngineChain chain, int requests, long tokens) {
+        for (Hop hop : chain.hops()) {
+            held.merge(
+                    hop.engine().id(),
+                    new Held(requests, tokens),
+                    (a, b) ->
+                            a.requests + b.requests == 0
+                                    ? null
+                                    : new Held(a.requests + b.requests, a.tokens + b.tokens));
+        }
+    }
+
+    /**
+     * Estimates the requests at an engine.
+     *
+     * @param engine the engine
+     * @return number of requests of all nodes
+     */
+    public int requests(InstanceId engine) {
+        return sharers * held.getOrDefault(engine, new Held(0, 0)).requests;
+    }
+
+    /**
+     * Estimates the tokens that requests hold at an engine.
+     *
+     * @param engine the engine
+     * @return number of tokens of all nodes
+     */
+    public long tokens(InstanceId engine) {
+        return sharers * held.getOrDefault(engine, new Held(0, 0)).tokens;
+    }
+}
--- /dev/null
+++ b/src/main/java/hyssopturn/chain/package-info.java
@@ -0,0 +1,2 @@
+/** Chains of engines that relay a request themselves, and which layers each engine holds. */
+package hyssopturn.chain;
--- a/src/main/java/hyssopturn/cli/Program.java
+++ b/src/main/java/hyssopturn/cli/Program.java
@@ -38,6 +38,7 @@
         CommandLine line =
                 new CommandLine(new Program())
                         .addSubcommand(new NodeCommand())
+                        .addSubcommand(new RouterCommand())
                         .addSubcommand(new TryCommand())
                         .addSubcommand(new StatusCommand())
                         .addSubcommand(new TimelineCommand())
--- /dev/null
+++ b/src/main/java/hyssopturn/cli/RouterOptions.java
@@ -0,0 +1,89 @@
+package hyssopturn.cli;
+
+import java.time.Duration;
+import java.util.List;
+
+/** Settings of a node on the users' platform. */
+final class RouterOptions {
+    private static final Duration MILLI = Duration.ofMillis(1);
+    private static final Duration MINUTE = Duration.ofMinutes(1);
+    private static final int MAX_NODES = 1_000;
+    private static final int MAX_LINES = 100_000;
+
+    static final Setting<String> CONFIG =
+            new Setting<>(
+                    "config",
+                    new Kind.Name(),
+                    "/etc/hyssopturn/node.toml",
+                    "Settings file of the platform");
+    static final Setting<Duration> CONNECT_TIMEOUT =
+            new Setting<>(
+                    "connect-timeout",
+                    new Kind.Span(MILLI, MINUTE),
+                    "300ms",
+                    "Longest time to connect to an endpoint");
+    static final Setting<Duration> FIRST_EVENT_STALL =
+            new Setting<>(
+                    "first-event-stall",
+                    new Kind.Span(MILLI, MINUTE),
+                    "400ms",
+                    "Time without a first event after which an engine is asked why");
+    static final Setting<Duration> GAP_STALL =
+            new Setting<>(
+                    "gap-stall",
+                    new Kind.Span(MILLI, MINUTE),
+                    "250ms",
+                    "Time without a further event after which an engine is asked why");
+    static final Setting<Duration> RETRY_AFTER =
+            new Setting<>(
+                    "retry-after",
+                    new Kind.Span(MILLI, MINUTE),
+                    "1s",
+                    "Time after which a refused caller should come back");
+    static final Setting<Duration> CONFIG_WAIT =
+            new Setting<>(
+                    "config-wait",
+                    new Kind.Span(MILLI, MINUTE),
+                    "1500ms",
+                    "How long a read of the configuration waits for a change");
+    static final Setting<Integer> NODES_AT_MOST =
+            new Setting<>(
+                    "nodes-at-most",
+                    new Kind.Whole(1, MAX_NODES),
+                    "16",
+                    "Nodes that the fixed part of the retry budget is split over");
+    static final Setting<Integer> SHARERS =
+            new Setting<>(
+                    "sharers",
+                    new Kind.Whole(1, MAX_NODES),
+                    "3",
+                    "Nodes that send about as much to an engine as this one");
+    static final Setting<Integer> LOG_LINES =
+            new Setting<>(
+                    "log-lines",
+                    new Kind.Whole(1, MAX_LINES),
+                    "200",
+                    "Greatest number of log lines in a second");
+
+    static final Setting<Duration> STOP_AFTER =
+            new Setting<>(
+                    "stop-after",
+                    new Kind.Span(Duration.ZERO, Duration.ofDays(1)),
+                    "0s",
+                    "Time after which the node stops by itself, 0s for never");
+
+    static final List<Setting<?>> ALL =
+            List.of(
+                    CONFIG,
+                    CONNECT_TIMEOUT,
+                    FIRST_EVENT_STALL,
+                    GAP_STALL,
+                    RETRY_AFTER,
+                    CONFIG_WAIT,
+                    NODES_AT_MOST,
+                    SHARERS,
+                    LOG_LINES,
+                    STOP_AFTER);
+
+    private RouterOptions() {}
+}
--- /dev/null
+++ b/src/main/java/hyssopturn/node/CatalogListener.java
@@ -0,0 +1,73 @@
+package hyssopturn.node;
+
+import hyssopturn.catalog.Catalog;
+import hyssopturn.log.KeyedFollower;
+import hyssopturn.port.Clock;
+import hyssopturn.port.KeyedLog;
+import hyssopturn.port.PortException;
+import hyssopturn.relay.Knowledge;
+import hyssopturn.trace.TraceEvent;
+import hyssopturn.trace.TraceLog;
+
+import java.util.Optional;
+import java.util.function.Function;
+
+/** Puts configurations into force as they are read. */
+final class CatalogListener implements KeyedFollower.Listener {
+    private static final String NAME = "config-stream";
+
+    private final Knowledge knowledge;
+    private final Function<KeyedLog.Entry, Optional<Catalog>> decoder;
+    private final Clock clock;
+    private final TraceLog trace;
+    private boolean lost;
+
+    CatalogListener(
+            Knowledge knowledge,
+            Function<KeyedLog.Entry, Optional<Catalog>> decoder,
+            Clock clock,
+            TraceLog trace) {
+        this.knowledge = knowledge;
+        this.decoder = decoder;
+        this.clock = clock;
+        this.trace = trace;
+    }
+
+    @Override
+    public void whole(KeyedLog.Page page) {
+        records(page);
+    }
+
+    @Override
+    public void records(KeyedLog.Page page) {
+        page.entries().forEach(this::take);
+        knowledge.confirmed(clock.nanos());
+        if (lost) {
+            lost = false;
+            trace.record(new TraceEvent.Dependency(NAME, "regained", ""));
+        }
+    }
+
+    private void take(KeyedLog.Entry entry) {
+        try {
+            decoder.apply(entry).filter(knowledge::offer).ifPresent(this::tell);
+        } catch (IllegalArgumentException e) {
+            trace.record(
+                    new TraceEvent.Malformed(NAME, entry.key(), entry.offset(), e.getMessage()));
+        }
+    }
+
+    private void tell(Catalog catalog) {
+        trace.record(
+                new TraceEvent.ConfigInForce(
+                        catalog.version(), catalog.size(), catalog.hasAccounts()));
+    }
+
+    @Override
+    public void unreadable(PortException error) {
+        if (!lost) {
+            lost = true;
+            trace.record(new TraceEvent.Dependency(NAME, "lost", error.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -0,0 +1,232 @@
+package hyssopturn.node;
+
+import hyssopturn.chain.EngineLoad;
+import hyssopturn.chain.LayerController;
+import hyssopturn.log.Backoff;
+import hyssopturn.log.KeyedFollower;
+import hyssopturn.model.Address;
+import hyssopturn.platform.PlatformAdapter;
+import hyssopturn.platform.PlatformSettings;
+import hyssopturn.relay.Knowledge;
+import hyssopturn.relay.Relay;
+import hyssopturn.relay.RelayParts;
+import hyssopturn.relay.RelaySettings;
+import hyssopturn.relay.RetryAllowance;
+import hyssopturn.trace.TraceEvent;
+import hyssopturn.trace.TraceLog;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Handler;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.PoolOptions;
+
+import java.io.OutputStream;
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+
+/** A node between callers and endpoints on the users' platform, all on one event loop. */
+public final class RelayNode {
+    private static final Duration ENDPOINT_READ_PAUSE = Duration.ofSeconds(1);
+    private static final Duration DRAIN_TICK = Duration.ofMillis(50);
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    private static final int ENDPOINT_CONNECTIONS = 1_000;
+    private static final int STORE_CONNECTIONS = 8;
+    private static final int BACKLOG = 1_024;
+    private static final int MAX_HEADER_BYTES = 32_768;
+
+    private final Vertx vertx;
+    private final PlatformSettings platform;
+    private final LoopClock clock;
+    private final TraceLog trace;
+    private final PrometheusMeterRegistry meters =
+            new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Knowledge knowledge = new Knowledge();
+    private final Relay relay;
+    private final KeyedFollower config;
+    private final KeyedFollower endpoints;
+    private final LayerController layers;
+
+    /**
+     * Assembles a node that has not started.
+     *
+     * @param vertx event loop, used by nothing else
+     * @param platform the platform's settings
+     * @param settings the product's settings
+     * @param out where log lines go
+     */
+    public RelayNode(
+            Vertx vertx, PlatformSettings platform, RelayNodeSettings settings, OutputStream out) {
+        this.vertx = vertx;
+        this.platform = platform;
+        clock = new LoopClock(vertx, vertx.getOrCreateContext());
+        trace = new TraceLog(platform.node(), clock, out, settings.logLines());
+        SplittableRandom random = new SplittableRandom();
+        HttpClient endpointClient = client(vertx, false, ENDPOINT_CONNECTIONS);
+        PlatformAdapter adapter =
+                new PlatformAdapter(
+                        platform, client(vertx, true, STORE_CONNECTIONS), endpointClient);
+        relay =
+                new Relay(
+                        new RelayParts(
+                                knowledge,
+                                adapter.dialect(),
+                                endpointClient,
+                                clock,
+                                random,
+                                retries(settings),
+                                new EngineLoad(settings.sharers()),
+                                trace,
+                                meters,
+                                relaySettings(settings)),
+                        adapter.engines());
+        config =
+                new KeyedFollower(
+                        adapter.log(),
+                        adapter.configStream(),
+                        new KeyedFollower.Pacing(settings.configWait(), Duration.ZERO),
+                        clock,
+                        new Backoff(random),
+                        new CatalogListener(knowledge, adapter::catalog, clock, trace));
+        endpoints =
+                new KeyedFollower(
+                        adapter.log(),
+                        adapter.endpointStream(),
+                        new KeyedFollower.Pacing(Duration.ZERO, ENDPOINT_READ_PAUSE),
+                        clock,
+                        new Backoff(random),
+                        new RosterListener(knowledge.roster(), adapter::endpoint, clock, trace));
+        layers =
+                new LayerController(
+                        knowledge::catalog,
+                        knowledge.roster(),
+                        adapter.duties(),
+                        adapter.engines(),
+                        clock,
+                        trace);
+    }
+
+    private RetryAllowance retries(RelayNodeSettings settings) {
+        return new RetryAllowance(
+                platform.retryRatio(),
+                platform.retryWindow().toNanos(),
+                platform.retryFixed() / settings.nodesAtMost());
+    }
+
+    private RelaySettings relaySettings(RelayNodeSettings settings) {
+        return new RelaySettings(
+                platform.zone(),
+                settings.connectTimeout(),
+                settings.firstEventStall(),
+                settings.gapStall(),
+                settings.retryAfter());
+    }
+
+    private static HttpClient client(Vertx vertx, boolean keepAlive, int connections) {
+        HttpClientOptions options =
+                new HttpClientOptions()
+                        .setKeepAlive(keepAlive)
+                        .setTcpNoDelay(true)
+                        .setMaxHeaderSize(MAX_HEADER_BYTES)
+                        .setDecompressionSupported(false);
+        return vertx.createHttpClient(
+                options, new PoolOptions().setHttp1MaxSize(connections).setCleanerPeriod(0));
+    }
+
+    /** Starts controllers and servers on the event loop. */
+    public void start() {
+        vertx.runOnContext(
+                v -> {
+                    trace.record(
+                            new TraceEvent.Started(
+                                    platform.zone(), platform.front().toString(), "0.1.0"));
+                    listen(platform.front(), relay::handle);
+                    listen(platform.readiness(), this::readiness);
+                    listen(platform.metrics(), this::metrics);
+                    config.start();
+                    endpoints.start();
+                    layers.start();
+                    relay.start();
+                });
+    }
+
+    private void listen(Address address, Handler<HttpServerRequest> handler) {
+        HttpServerOptions options =
+                new HttpServerOptions()
+                        .setTcpNoDelay(true)
+                        .setAcceptBacklog(BACKLOG)
+                        .setMaxHeaderSize(MAX_HEADER_BYTES)
+                        .setHandle100ContinueAutomatically(true);
+        Future<?> listening =
+                vertx.createHttpServer(options)
+                        .requestHandler(handler)
+                        .listen(address.port(), address.host());
+        listening.onFailure(
+                e ->
+                        trace.record(
+                                new TraceEvent.Dependency(
+                                        "listen " + address, "lost", String.valueOf(e))));
+    }
+
+    private void readiness(HttpServerRequest request) {
+        request.response().setStatusCode(relay.ready() ? OK : UNAVAILABLE).end();
+    }
+
+    private void metrics(HttpServerRequest request) {
+        request.response()
+                .putHeader("Content-Type", "text/plain; version=0.0.4")
+                .end(meters.scrape());
+    }
+
+    /**
+     * Notes that the settings file was read again.
+     *
+     * @param changed true if it differs
+     */
+    public void reloaded(boolean changed) {
+        vertx.runOnContext(v -> trace.record(new TraceEvent.Reloaded(changed)));
+    }
+
+    /**
+     * Stops gracefully: callers are sent elsewhere, and requests in progress are finished.
+     *
+     * @param least time for which requests on open connections are still answered
+     * @param most time after which the process must be gone
+     * @return completes when nothing is in progress or the time is over
+     */
+    public CompletableFuture<Void> drain(Duration least, Duration most) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        vertx.runOnContext(
+                v -> {
+                    trace.record(new TraceEvent.Stopping("draining", relay.running()));
+                    relay.drain();
+                    layers.stop();
+                    awaitIdle(clock.nanos(), least, most, done);
+                });
+        return done;
+    }
+
+    private void awaitIdle(
+            long startNanos, Duration least, Duration most, CompletableFuture<Void> done) {
+        long spent = clock.nanos() - startNanos;
+        boolean idle = relay.running() == 0 && spent >= least.toNanos();
+        if (idle || spent >= most.toNanos()) {
+            trace.record(new TraceEvent.Stopping("stopped", relay.running()));
+            done.complete(null);
+            return;
+        }
+        clock.after(DRAIN_TICK, () -> awaitIdle(startNanos, least, most, done));
+    }
+
+    /** Writes out the log. */
+    public void close() {
+        trace.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/hyssopturn/platform/GroupDuties.java
@@ -0,0 +1,59 @@
+package hyssopturn.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import hyssopturn.port.Duties;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Duties dealt out by a consumer group of the log: whoever holds a partition has its duty.
+ *
+ * <p>The group's generation grows with each change of holders, so it serves as fencing token.
+ */
+final class GroupDuties implements Duties {
+    private static final String GROUP = "hyssopturn-duties";
+    private static final String TOPIC = "hyssopturn-duties";
+    private static final int PLACEMENT = 0;
+
+    private final Store store;
+    private final String member;
+    private long generation;
+
+    GroupDuties(Store store, String member) {
+        this.store = store;
+        this.member = member;
+    }
+
+    @Override
+    public CompletableFuture<OptionalLong> join(Duration keep) {
+        Map<String, Object> message =
+                Map.of(
+                        "group", GROUP,
+                        "Member", member,
+                        "Topics", List.of(TOPIC),
+                        "TtlMs", keep.toMillis(),
+                        "Generation", generation);
+        return store.post("/v1/log-join", message).thenApply(this::held);
+    }
+
+    private OptionalLong held(JsonNode answer) {
+        generation = JsonValue.whole(answer, "Generation");
+        for (JsonNode row : answer.path("parts")) {
+            if (row.path(1).asInt(-1) == PLACEMENT) {
+                return OptionalLong.of(generation);
+            }
+        }
+        return OptionalLong.empty();
+    }
+
+    @Override
+    public CompletableFuture<Void> leave() {
+        return store.post("/v1/log-leave", Map.of("group", GROUP, "Member", member))
+                .thenAccept(answer -> generation = 0);
+    }
+}
--- /dev/null
+++ b/src/main/java/hyssopturn/platform/HttpEngineControl.java
@@ -0,0 +1,96 @@
+package hyssopturn.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import hyssopturn.model.Address;
+import hyssopturn.model.InstanceId;
+import hyssopturn.model.LayerRange;
+import hyssopturn.port.EngineControl;
+import hyssopturn.port.FailedException;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonObject;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+/** Reports and orders of model workers. */
+final class HttpEngineControl implements EngineControl {
+    private static final Duration REPORT_TIMEOUT = Duration.ofMillis(200);
+    private static final Duration ORDER_TIMEOUT = Duration.ofMillis(800);
+    private static final int OK = 200;
+    private static final int ACCEPTED = 202;
+    private static final int FENCED = 412;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final HttpCalls calls;
+
+    HttpEngineControl(HttpCalls calls) {
+        this.calls = calls;
+    }
+
+    @Override
+    public CompletableFuture<Map<String, Address>> stalled(Address engine) {
+        return calls.call(
+                        HttpMethod.GET,
+                        engine,
+                        "/v1/report",
+                        Map.of(),
+                        Buffer.buffer(),
+                        REPORT_TIMEOUT)
+                .thenApply(HttpEngineControl::stalled);
+    }
+
+    private static Map<String, Address> stalled(HttpCalls.Answer answer) {
+        if (answer.status() != OK) {
+            throw new FailedException("report: " + answer.status());
+        }
+        try {
+            Map<String, Address> waits = new HashMap<>();
+            for (JsonNode wait : JSON.readTree(answer.body().getBytes()).path("Stalled")) {
+                waits.put(
+                        JsonValue.text(wait, "Id"), Address.parse(JsonValue.text(wait, "Address")));
+            }
+            return waits;
+        } catch (IOException | JsonValue.MalformedException e) {
+            throw new FailedException("report cannot be read: " + e.getMessage());
+        }
+    }
+
+    @Override
+    public CompletableFuture<OrderResult> place(
+            Address engine, InstanceId id, LayerRange range, long fence) {
+        JsonObject order =
+                new JsonObject()
+                        .put("Operation", "place")
+                        .put("From", range.from())
+                        .put("To", range.to())
+                        .put("Strategy", "queue")
+                        .put("FenceToken", fence);
+        Map<String, String> headers =
+                Map.of(
+                        "Content-Type",
+                        "application/json",
+                        "Hyssopturn-Expect-Instance",
+                        id.value());
+        return calls.call(
+                        HttpMethod.POST,
+                        engine,
+                        "/v1/order",
+                        headers,
+                        order.toBuffer(),
+                        ORDER_TIMEOUT)
+                .thenApply(
+                        answer ->
+                                switch (answer.status()) {
+                                    case OK, ACCEPTED -> OrderResult.ACCEPTED;
+                                    case FENCED -> OrderResult.FENCED;
+                                    default -> OrderResult.CONFLICT;
+                                });
+    }
+}
--- /dev/null
+++ b/src/main/java/hyssopturn/platform/PlatformSettings.java
@@ -0,0 +1,89 @@
+package hyssopturn.platform;
+
+import static hyssopturn.platform.JsonValue.number;
+import static hyssopturn.platform.JsonValue.text;
+import static hyssopturn.platform.JsonValue.whole;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+
+import hyssopturn.helper.InvalidArgumentException;
+import hyssopturn.model.Address;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+
+/**
+ * The settings file that the platform gives to each process.
+ *
+ * @param node name of this instance
+ * @param zone its availability zone
+ * @param front where callers connect
+ * @param readiness where the platform asks whether callers should be sent here
+ * @param metrics where metrics are served; the first port that is free for the system's own use
+ * @param store where the platform's log listens
+ * @param memoryMb memory of the process, in megabytes
+ * @param grace time from the request to stop until the process is killed
+ * @param retryRatio retries to a service for each of its requests
+ * @param retryWindow span over which retries are counted
+ * @param retryFixed retries that all nodes together may send in that span besides
+ * @param dutyLeast least time that a duty is kept for a node that is not heard of
+ */
+public record PlatformSettings(
+        String node,
+        String zone,
+        Address front,
+        Address readiness,
+        Address metrics,
+        Address store,
+        long memoryMb,
+        Duration grace,
+        double retryRatio,
+        Duration retryWindow,
+        double retryFixed,
+        Duration dutyLeast) {
+    private static final TomlMapper TOML = new TomlMapper();
+    private static final double MILLIS = 1_000;
+
+    /**
+     * Reads the file.
+     *
+     * @param file the file
+     * @return its settings
+     * @throws InvalidArgumentException if it cannot be read or a setting is missing or malformed
+     */
+    public static PlatformSettings read(Path file) {
+        try {
+            return decode(TOML.readTree(Files.readString(file)));
+        } catch (IOException e) {
+            throw new InvalidArgumentException("cannot read settings " + file + ": " + e);
+        } catch (JsonValue.MalformedException e) {
+            throw new InvalidArgumentException("settings " + file + ": " + e.getMessage());
+        }
+    }
+
+    private static PlatformSettings decode(JsonNode file) {
+        JsonNode listen = file.path("Listen");
+        JsonNode bounds = file.path("Bounds");
+        JsonNode store = file.path("Platform");
+        return new PlatformSettings(
+                text(file, "Node"),
+                text(file, "Zone"),
+                Address.parse(text(listen, "Front")),
+                Address.parse(text(listen, "ReadinessAddress")),
+                new Address(text(file, "Ip"), file.path("InternalPorts").path(0).asInt()),
+                Address.parse(text(store, "Address")),
+                whole(file.path("Limits"), "MemoryMb", 0),
+                seconds(bounds, "GraceS"),
+                number(bounds, "BudgetRatio", 0),
+                seconds(bounds, "BudgetWindowS"),
+                number(bounds, "BudgetSlack", 0),
+                Duration.ofMillis(whole(store, "TtlMinMs", 0)));
+    }
+
+    private static Duration seconds(JsonNode node, String field) {
+        return Duration.ofMillis(Math.round(number(node, field, 0) * MILLIS));
+    }
+}
--- /dev/null
+++ b/src/main/java/hyssopturn/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The users' platform: its settings file, log store, headers, endpoints and orders. */
+package hyssopturn.platform;
--- /dev/null
+++ b/src/main/java/hyssopturn/port/KeyedLog.java
@@ -0,0 +1,47 @@
+package hyssopturn.port;
+
+import hyssopturn.model.Bytes;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** Streams of the platform's log that keep the newest record of each key for good. */
+public interface KeyedLog {
+    /**
+     * A record.
+     *
+     * @param key its key
+     * @param value its value, empty if the key was removed
+     * @param offset its place in the stream
+     */
+    record Entry(String key, Optional<Bytes> value, long offset) {}
+
+    /**
+     * Records read.
+     *
+     * @param entries the records, oldest first
+     * @param next offset to read from next
+     */
+    record Page(List<Entry> entries, long next) {}
+
+    /**
+     * Reads the newest record of each key.
+     *
+     * @param stream name of the stream
+     * @return all keys that have a value, and where to go on; fails with a {@link PortException}
+     */
+    CompletableFuture<Page> newest(String stream);
+
+    /**
+     * Reads records in order.
+     *
+     * @param stream name of the stream
+     * @param from offset of the first record
+     * @param wait how long to wait for a record if there is none
+     * @return the records, none after the wait; fails with {@link TrimmedException} if the offset
+     *     is no longer kept, and with another {@link PortException} if the log did not answer
+     */
+    CompletableFuture<Page> read(String stream, long from, Duration wait);
+}
--- /dev/null
+++ b/src/main/java/hyssopturn/relay/RetryAllowance.java
@@ -0,0 +1,93 @@
+package hyssopturn.relay;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * How often requests may be sent to endpoints again, by service; pure.
+ *
+ * <p>The operator's budget counts all nodes together over a sliding window: a part of the requests
+ * and a fixed number. Each node keeps to that part of its own requests and to its even share of the
+ * fixed number, so no node needs to know of the others. Answers the load of a fault that makes many
+ * requests fail at once.
+ */
+public final class RetryAllowance {
+    private static final int BUCKETS = 20;
+
+    /** Part of the allowance that is used, so that windows cut at other moments keep to it. */
+    private static final double MARGIN = 0.8;
+
+    private final double ratio;
+    private final double fixed;
+    private final long bucketNanos;
+    private final Map<String, Window> windows = new HashMap<>();
+
+    /**
+     * Creates an allowance.
+     *
+     * @param ratio retries for each request
+     * @param windowNanos length of the window, in nanoseconds
+     * @param fixed this node's share of the retries that are allowed without requests
+     */
+    public RetryAllowance(double ratio, long windowNanos, double fixed) {
+        this.ratio = ratio;
+        this.fixed = fixed;
+        bucketNanos = windowNanos / BUCKETS;
+    }
+
+    private static final class Window {
+        private final long[] requests = new long[BUCKETS];
+        private final long[] retries = new long[BUCKETS];
+        private long bucket;
+
+        void advance(long to) {
+            for (long at = Math.max(bucket + 1, to - BUCKETS + 1); at <= to; at++) {
+                requests[(int) (at % BUCKETS)] = 0;
+                retries[(int) (at % BUCKETS)] = 0;
+            }
+            bucket = Math.max(bucket, to);
+        }
+
+        static long sum(long[] counts) {
+            long sum = 0;
+            for (long count : counts) {
+                sum += count;
+            }
+            return sum;
+        }
+    }
+
+    private Window window(String service, long nowNanos) {
+        Window window = windows.computeIfAbsent(service, s -> new Window());
+        window.advance(nowNanos / bucketNanos);
+        return window;
+    }
+
+    /**
+     * Notes a request of a caller.
+     *
+     * @param service its service
+     * @param nowNanos time now, from 0
+     */
+    public void request(String service, long nowNanos) {
+        Window window = window(service, nowNanos);
+        window.requests[(int) (window.bucket % BUCKETS)]++;
+    }
+
+    /**
+     * Asks to send a request once more.
+     *
+     * @param service its service
+     * @param nowNanos time now, from 0
+     * @return true if it may be sent, which is counted
+     */
+    public boolean retry(String service, long nowNanos) {
+        Window window = window(service, nowNanos);
+        double allowed = MARGIN * (ratio * Window.sum(window.requests) + fixed);
+        if (Window.sum(window.retries) + 1 > allowed) {
+            return false;
+        }
+        window.retries[(int) (window.bucket % BUCKETS)]++;
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/hyssopturn/relay/StallWatch.java
@@ -0,0 +1,103 @@
+package hyssopturn.relay;
+
+import hyssopturn.fleet.Endpoint;
+import hyssopturn.model.Address;
+import hyssopturn.port.EngineControl;
+import hyssopturn.trace.TraceEvent;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Watches the gaps of streams and finds out which engine a silent one waits for.
+ *
+ * <p>An engine that dies without a word shows first in the streams that pass it, seconds before its
+ * entry lapses. The first engine of a silent chain is asked; if it names an engine, or does not
+ * answer itself, every stream that passes the engine at fault goes on at another chain.
+ */
+final class StallWatch {
+    private static final Duration TICK = Duration.ofMillis(100);
+
+    private final RelayParts parts;
+    private final EngineControl engines;
+    private final Set<StreamCall> streams = new LinkedHashSet<>();
+
+    StallWatch(RelayParts parts, EngineControl engines) {
+        this.parts = parts;
+        this.engines = engines;
+    }
+
+    void start() {
+        tick();
+    }
+
+    void add(StreamCall stream) {
+        streams.add(stream);
+    }
+
+    void remove(StreamCall stream) {
+        streams.remove(stream);
+    }
+
+    private void tick() {
+        long now = parts.clock().nanos();
+        Map<Endpoint, List<StreamCall>> quiet = new HashMap<>();
+        for (StreamCall stream : streams) {
+            if (stream.quiet(now)) {
+                stream.asked(now);
+                Endpoint first = stream.chain().orElseThrow().first().engine();
+                quiet.computeIfAbsent(first, e -> new ArrayList<>()).add(stream);
+            }
+        }
+        quiet.forEach(this::ask);
+        parts.clock().after(TICK, this::tick);
+    }
+
+    private void ask(Endpoint first, List<StreamCall> quiet) {
+        engines.stalled(first.address())
+                .whenComplete(
+                        (waits, error) -> {
+                            if (error != null) {
+                                blame(first, quiet, "no report");
+                            } else {
+                                answered(first, quiet, waits);
+                            }
+                        });
+    }
+
+    private void answered(Endpoint first, List<StreamCall> quiet, Map<String, Address> waits) {
+        Set<Address> faults = new LinkedHashSet<>();
+        for (StreamCall stream : quiet) {
+            Optional.ofNullable(waits.get(stream.id())).ifPresent(faults::add);
+        }
+        for (Address fault : faults) {
+            parts.knowledge()
+                    .roster()
+                    .at(fault)
+                    .ifPresent(e -> blame(e, quiet, "named by " + first.id()));
+        }
+    }
+
+    private void blame(Endpoint engine, List<StreamCall> quiet, String cause) {
+        List<String> ids = quiet.stream().map(StreamCall::id).toList();
+        parts.trace().record(new TraceEvent.Stalled(engine.id().value(), ids, cause));
+        long now = parts.clock().nanos();
+        if (parts.knowledge().roster().suspect(engine.id(), engine.incarnation(), now)) {
+            parts.trace()
+                    .record(
+                            new TraceEvent.EndpointChanged(
+                                    engine.id().value(), engine.service(), "suspect", "", cause));
+        }
+        for (StreamCall stream : List.copyOf(streams)) {
+            if (stream.uses(engine.id())) {
+                stream.recover("engine stalled");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -0,0 +1,273 @@
+package hyssopturn.relay;
+
+import hyssopturn.catalog.EngineSpec;
+import hyssopturn.chain.ChainSearch;
+import hyssopturn.chain.EngineChain;
+import hyssopturn.fleet.Endpoint;
+import hyssopturn.fleet.Roster;
+import hyssopturn.model.InstanceId;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpServerRequest;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * A request whose answer is a stream of events from a chain of engines.
+ *
+ * <p>Only whole events are passed on, each once and in order. When a chain fails, another one goes
+ * on after the last event that the caller has, within the same answer.
+ */
+final class StreamCall extends Call {
+    private final EngineSpec spec;
+    private final StallWatch watch;
+    private final StreamProgress progress;
+    private final ChainSearch.Size size;
+    private Optional<EngineChain> chain = Optional.empty();
+    private EventFramer framer = new EventFramer();
+    private int generation;
+    private long progressNanos;
+    private long askedNanos = Long.MIN_VALUE;
+
+    StreamCall(
+            RelayParts parts,
+            HttpServerRequest request,
+            Admitted admitted,
+            EngineSpec spec,
+            StallWatch watch) {
+        super(parts, request, admitted);
+        this.spec = spec;
+        this.watch = watch;
+        progress = new StreamProgress(admitted.headers().resumeAfter());
+        size =
+                new ChainSearch.Size(
+                        admitted.headers().promptTokens(), admitted.headers().answerTokens());
+    }
+
+    @Override
+    void offer() {
+        Roster roster = parts.knowledge().roster();
+        Optional<EngineChain> found =
+                new ChainSearch(spec, parts.load())
+                        .cheapest(
+                                roster.usable(admitted.service(), now()),
+                                parts.settings().zone(),
+                                size,
+                                excluded);
+        if (found.isEmpty()) {
+            giveUp("no chain");
+            return;
+        }
+        chain = found;
+        parts.load().add(found.get(), size.tokens());
+        framer = new EventFramer();
+        progressNanos = now();
+        int attempt = ++generation;
+        Endpoint first = found.get().first().engine();
+        boolean earlier = mayHaveRun();
+        Offer offer = new Offer(first, found, admitted.account(), left(), progress.last());
+        open(offer).onComplete(r -> send(attempt, earlier, r), e -> unreachable(attempt, first));
+    }
+
+    private boolean stale(int attempt) {
+        return ended() || attempt != generation;
+    }
+
+    private void unreachable(int attempt, Endpoint first) {
+        if (stale(attempt)) {
+            return;
+        }
+        upstreamDone();
+        parts.knowledge().roster().suspect(first.id(), first.incarnation(), now());
+        excluded.add(first.id());
+        attempts--;
+        offer();
+    }
+
+    private void send(int attempt, boolean earlier, HttpClientRequest opened) {
+        if (stale(attempt)) {
+            opened.reset();
+            return;
+        }
+        sending();
+        watch.add(this);
+        opened.send(admitted.body())
+                .onComplete(
+                        r -> head(attempt, earlier, r), e -> recover(attempt, "connection failed"));
+    }
+
+    private void head(int attempt, boolean earlier, HttpClientResponse answer) {
+        if (stale(attempt)) {
+            return;
+        }
+        EndpointReply reply = parts.dialect().reply(answer.statusCode(), answer.headers());
+        if (reply.notRun()) {
+            provedNotRun(earlier);
+            reply.fault()
+                    .flatMap(parts.knowledge().roster()::at)
+                    .ifPresent(e -> excluded.add(e.id()));
+            recover(attempt, "engine refused");
+            return;
+        }
+        if (!reply.answers(admitted.headers().id())) {
+            recover(attempt, "foreign answer");
+            return;
+        }
+        if (!reply.success()) {
+            status(attempt, reply, answer);
+            return;
+        }
+        answer.handler(bytes -> events(attempt, answer, bytes));
+        answer.endHandler(v -> end(attempt));
+        answer.exceptionHandler(e -> recover(attempt, "stream cut off"));
+    }
+
+    /** Passes on a failure that the engine reports itself, unless another chain may do better. */
+    private void status(int attempt, EndpointReply reply, HttpClientResponse answer) {
+        if ((reply.failure() && admitted.route().repeat().allowed()) || response.headWritten()) {
+            recover(attempt, "engine failed");
+            return;
+        }
+        answer.body()
+                .onComplete(
+                        body -> passStatus(attempt, reply, answer, body),
+                        e -> recover(attempt, "answer cut off"));
+    }
+
+    private void passStatus(
+            int attempt, EndpointReply reply, HttpClientResponse answer, Buffer body) {
+        if (stale(attempt)) {
+            return;
+        }
+        finish("endpoint-status", reply.status(), "");
+        upstreamDone();
+        response.setStatusCode(reply.status());
+        HopHeaders.copyOthers(answer.headers(), response.headers());
+        response.end(body);
+    }
+
+    private void events(int attempt, HttpClientResponse answer, Buffer bytes) {
+        if (stale(attempt)) {
+            return;
+        }
+        Buffer ready = Buffer.buffer();
+        for (EventFramer.Event event : framer.feed(bytes)) {
+            switch (progress.next(event.id())) {
+                case DELIVER -> ready.appendBuffer(event.bytes());
+                case SKIP -> {
+                    // the caller has it from an earlier chain
+                }
+                case GAP -> {
+                    deliver(answer, ready);
+                    recover(attempt, "event missing");
+                    return;
+                }
+            }
+        }
+        deliver(answer, ready);
+    }
+
+    private void deliver(HttpClientResponse answer, Buffer ready) {
+        if (ready.length() == 0) {
+            return;
+        }
+        firstPart();
+        progressNanos = now();
+        writeHead(answer);
+        response.write(ready);
+        if (response.writeQueueFull()) {
+            answer.pause();
+            response.drainHandler(v -> answer.resume());
+        }
+    }
+
+    private void writeHead(HttpClientResponse answer) {
+        if (response.headWritten()) {
+            return;
+        }
+        response.setStatusCode(answer.statusCode());
+        response.setChunked(true);
+        HopHeaders.copyOthers(answer.headers(), response.headers());
+    }
+
+    private void end(int attempt) {
+        if (stale(attempt)) {
+            return;
+        }
+        if (framer.torn() || !response.headWritten()) {
+            recover(attempt, "stream torn");
+            return;
+        }
+        finish("served", response.getStatusCode(), "");
+        upstreamDone();
+        response.end();
+    }
+
+    private void recover(int attempt, String cause) {
+        if (!stale(attempt)) {
+            recover(cause);
+        }
+    }
+
+    /** Leaves the present chain and goes on at another one. */
+    void recover(String cause) {
+        if (ended() || chain.isEmpty()) {
+            return;
+        }
+        Endpoint first = chain.get().first().engine();
+        generation++;
+        cancelUpstream();
+        if (again(first, cause)) {
+            offer();
+        } else if (response.headWritten()) {
+            breakOff(cause);
+        } else {
+            giveUp(cause);
+        }
+    }
+
+    /** Tells whether the first engine should be asked why no event comes. */
+    boolean quiet(long nowNanos) {
+        Duration limit =
+                progress.delivered()
+                        ? parts.settings().gapStall()
+                        : parts.settings().firstEventStall();
+        long since = Math.max(progressNanos, askedNanos);
+        return chain.isPresent() && nowNanos - since > limit.toNanos();
+    }
+
+    void asked(long nowNanos) {
+        askedNanos = nowNanos;
+    }
+
+    Optional<EngineChain> chain() {
+        return chain;
+    }
+
+    boolean uses(InstanceId engine) {
+        return chain.filter(c -> c.uses(engine)).isPresent();
+    }
+
+    String id() {
+        return admitted.id();
+    }
+
+    @Override
+    void release() {
+        chain.ifPresent(c -> parts.load().remove(c, size.tokens()));
+        chain = Optional.empty();
+        watch.remove(this);
+    }
+
+    @Override
+    void expired() {
+        if (response.headWritten()) {
+            breakOff("timeout");
+        } else {
+            giveUp("timeout");
+        }
+    }
+}
