Prefer chains of the own zone, and do not count refusals as workers used

Cause: every node chose the fastest chain of all zones, so one first engine got 33 times the mean load and its memory ran out: 464 of 1,689 arrivals shed. Change: a first engine of another zone costs as much as a crossing; a request may be sent again to an engine that it was offered before.

--- a/src/main/java/hyssopturn/chain/ChainSearch.java
+++ b/src/main/java/hyssopturn/chain/ChainSearch.java
@@ -15,6 +15,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 /**
  * Finds the chain that is predicted to answer soonest under the load that the node knows of.
@@ -22,7 +23,9 @@
  * <p>Shortest path over pairs of a layer and the engine that ran the one before it. An engine may
  * run a part of the layers that it holds, so a chain may change engines at any boundary of a held
  * range. Crossing between zones costs the transfer of the prompt's activations over the pipe that
- * all crossing requests share, so chains within a zone come first and others are the reserve.
+ * all crossing requests share, so chains within a zone come first and others are the reserve. The
+ * same is charged for a first engine in another zone: nodes see only their own load, and those of a
+ * zone together can fill its engines evenly only if they keep to them.
  */
 public final class ChainSearch {
     /** Time that each hop adds to each token for the message to it, in milliseconds. */
@@ -81,10 +84,15 @@
      * @param zone availability zone of this node
      * @param size size of the request
      * @param excluded engines that must not be used
+     * @param mayBegin which engines may come first
      * @return the chain, empty if the engines do not hold every layer or have no memory left
      */
     public Optional<EngineChain> cheapest(
-            List<Endpoint> engines, String zone, Size size, Set<InstanceId> excluded) {
+            List<Endpoint> engines,
+            String zone,
+            Size size,
+            Set<InstanceId> excluded,
+            Predicate<Endpoint> mayBegin) {
         List<Endpoint> candidates = candidates(engines, size, excluded);
         NavigableSet<Integer> boundaries = boundaries(candidates);
         Map<Vertex, Double> settled = new HashMap<>();
@@ -97,7 +105,9 @@
             }
             InstanceId last = label.last == null ? null : label.last.id();
             if (settled.putIfAbsent(new Vertex(label.layer, last), label.cost) == null) {
-                extend(label, candidates, boundaries, zone, size, open);
+                List<Endpoint> next =
+                        last == null ? candidates.stream().filter(mayBegin).toList() : candidates;
+                extend(label, next, boundaries, zone, size, open);
             }
         }
         return Optional.empty();
@@ -142,7 +152,7 @@
             for (int end : boundaries.subSet(label.layer, false, held.to(), true)) {
                 double cost = label.cost + hopCost(engine, end - label.layer, size);
                 if (!from.equals(engine.zone())) {
-                    cost += label.last == null ? HOP_MILLIS : crossingCost(size);
+                    cost += crossingCost(size);
                 }
                 open.add(new Label(end, engine, label.layer, cost, label));
             }
--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -32,6 +32,9 @@
     static final int UNAVAILABLE = 503;
     static final int GATEWAY_TIMEOUT = 504;
 
+    /** Greatest number of times that a request is sent, also if always to the same endpoint. */
+    private static final int MOST_ATTEMPTS = 4;
+
     private static final long MILLI_NANOS = 1_000_000;
     private static final double MILLIS = 1_000;
 
@@ -40,7 +43,8 @@
     final HttpServerResponse response;
     final Admitted admitted;
     final Set<InstanceId> excluded = new HashSet<>();
-    int attempts;
+    private final Set<InstanceId> offered = new HashSet<>();
+    private int attempts;
     private final Clock.Timer expiry;
     private Optional<HttpClientRequest> upstream = Optional.empty();
     private boolean mayHaveRun;
@@ -115,6 +119,7 @@
     /** Sends the request; the future fails if it certainly was not sent. */
     final Future<HttpClientRequest> open(Offer offer) {
         attempts++;
+        offered.add(offer.endpoint().id());
         parts.trace()
                 .record(
                         new TraceEvent.Offered(
@@ -144,6 +149,20 @@
         return opened;
     }
 
+    /** Tells whether the route allows the request to be sent to an endpoint. */
+    final boolean mayOffer(Endpoint endpoint) {
+        return offered.contains(endpoint.id()) || offered.size() < admitted.route().maxAttempts();
+    }
+
+    /** Notes that nothing was sent to an endpoint, because it could not be reached. */
+    final void unsent(Endpoint endpoint) {
+        upstreamDone();
+        attempts--;
+        offered.remove(endpoint.id());
+        excluded.add(endpoint.id());
+        parts.knowledge().roster().suspect(endpoint.id(), endpoint.incarnation(), now());
+    }
+
     /** Notes that the bytes of the request leave, so that it may run from here on. */
     final void sending() {
         mayHaveRun = true;
@@ -186,7 +205,7 @@
         if (!repeatable()) {
             return "must run at most once";
         }
-        if (attempts >= admitted.route().maxAttempts()) {
+        if (attempts >= MOST_ATTEMPTS) {
             return "attempts used up";
         }
         if (left().toMillis() <= 0) {
--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -53,7 +53,7 @@
     private Optional<Endpoint> choose() {
         List<Endpoint> usable =
                 parts.knowledge().roster().usable(admitted.service(), now()).stream()
-                        .filter(e -> !excluded.contains(e.id()))
+                        .filter(e -> !excluded.contains(e.id()) && mayOffer(e))
                         .toList();
         return usable.stream()
                 .min(
@@ -66,10 +66,7 @@
         if (ended()) {
             return;
         }
-        upstreamDone();
-        parts.knowledge().roster().suspect(endpoint.id(), endpoint.incarnation(), now());
-        excluded.add(endpoint.id());
-        attempts--;
+        unsent(endpoint);
         if (left().toMillis() > 0) {
             offer();
         } else {
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -56,7 +56,8 @@
                                 roster.usable(admitted.service(), now()),
                                 parts.settings().zone(),
                                 size,
-                                excluded);
+                                excluded,
+                                this::mayOffer);
         if (found.isEmpty()) {
             giveUp("no chain");
             return;
@@ -80,10 +81,7 @@
         if (stale(attempt)) {
             return;
         }
-        upstreamDone();
-        parts.knowledge().roster().suspect(first.id(), first.incarnation(), now());
-        excluded.add(first.id());
-        attempts--;
+        unsent(first);
         offer();
     }
 
