Keep to the own zone's engines whenever they hold a chain

Cause: slow cards made a chain over two zones look cheaper, so bench's cards were filled from everywhere.

--- a/src/main/java/hyssopturn/chain/ChainSearch.java
+++ b/src/main/java/hyssopturn/chain/ChainSearch.java
@@ -23,9 +23,9 @@
  * <p>Shortest path over pairs of a layer and the engine that ran the one before it. An engine may
  * run a part of the layers that it holds, so a chain may change engines at any boundary of a held
  * range. Crossing between zones costs the transfer of the prompt's activations over the pipe that
- * all crossing requests share, so chains within a zone come first and others are the reserve. The
- * same is charged for a first engine in another zone: nodes see only their own load, and those of a
- * zone together can fill its engines evenly only if they keep to them.
+ * all crossing requests share. Nodes see only their own load, and those of a zone together can fill
+ * its engines evenly only if they keep to them, so other zones are the reserve for when the own
+ * zone's engines do not hold every layer or have no memory left.
  */
 public final class ChainSearch {
     /** Time that each hop adds to each token for the message to it, in milliseconds. */
@@ -94,6 +94,13 @@
             Set<InstanceId> excluded,
             Predicate<Endpoint> mayBegin) {
         List<Endpoint> candidates = candidates(engines, size, excluded);
+        List<Endpoint> near = candidates.stream().filter(e -> e.zone().equals(zone)).toList();
+        return search(near, zone, size, mayBegin)
+                .or(() -> search(candidates, zone, size, mayBegin));
+    }
+
+    private Optional<EngineChain> search(
+            List<Endpoint> candidates, String zone, Size size, Predicate<Endpoint> mayBegin) {
         NavigableSet<Integer> boundaries = boundaries(candidates);
         Map<Vertex, Double> settled = new HashMap<>();
         PriorityQueue<Label> open = new PriorityQueue<>((a, b) -> Double.compare(a.cost, b.cost));
