--- a/src/main/java/hyssopturn/fleet/Roster.java
+++ b/src/main/java/hyssopturn/fleet/Roster.java
@@ -43,6 +43,7 @@
         Entry(Endpoint endpoint, long nowNanos) {
             this.endpoint = endpoint;
             heardNanos = nowNanos;
+            left = endpoint.leaving();
         }
     }
 
--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -138,10 +138,11 @@
             failed(endpoint, opened, "foreign answer");
             return;
         }
+        excluded.add(endpoint.id());
         if (reply.failure()
                 && admitted.route().repeat().allowed()
+                && choose().isPresent()
                 && again(endpoint, "endpoint failed")) {
-            excluded.add(endpoint.id());
             upstreamDone();
             offer();
             return;
--- a/src/main/java/hyssopturn/relay/RetryAllowance.java
+++ b/src/main/java/hyssopturn/relay/RetryAllowance.java
@@ -12,7 +12,11 @@
  * requests fail at once.
  */
 public final class RetryAllowance {
-    private static final int BUCKETS = 20;
+    /** Parts that the window is divided into. */
+    private static final int PARTS = 20;
+
+    /** One part more, so that the counts never span less than the window. */
+    private static final int BUCKETS = PARTS + 1;
 
     /** Part of the allowance that is used, so that windows cut at other moments keep to it. */
     private static final double MARGIN = 0.8;
@@ -32,7 +36,7 @@
     public RetryAllowance(double ratio, long windowNanos, double fixed) {
         this.ratio = ratio;
         this.fixed = fixed;
-        bucketNanos = windowNanos / BUCKETS;
+        bucketNanos = windowNanos / PARTS;
     }
 
     private static final class Window {
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -104,9 +104,12 @@
         EndpointReply reply = parts.dialect().reply(answer.statusCode(), answer.headers());
         if (reply.notRun()) {
             provedNotRun(earlier);
-            reply.fault()
-                    .flatMap(parts.knowledge().roster()::at)
-                    .ifPresent(e -> excluded.add(e.id()));
+            InstanceId fault =
+                    reply.fault()
+                            .flatMap(parts.knowledge().roster()::at)
+                            .orElse(chain.orElseThrow().first().engine())
+                            .id();
+            excluded.add(fault);
             recover(attempt, "engine refused");
             return;
         }
--- a/src/test/java/hyssopturn/ArchitectureTest.java
+++ b/src/test/java/hyssopturn/ArchitectureTest.java
@@ -20,7 +20,10 @@
         "hyssopturn.place..",
         "hyssopturn.log..",
         "hyssopturn.run..",
-        "hyssopturn.event.."
+        "hyssopturn.event..",
+        "hyssopturn.catalog..",
+        "hyssopturn.chain..",
+        "hyssopturn.fleet.."
     };
 
     @ArchTest
@@ -61,6 +64,16 @@
                             "hyssopturn.helper..",
                             "java..");
 
+    @ArchTest
+    static final ArchRule onlyTheAssemblyKnowsThePlatform =
+            noClasses()
+                    .that()
+                    .resideOutsideOfPackages(
+                            "hyssopturn.platform..", "hyssopturn.node..", "hyssopturn.cli..")
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAPackage("hyssopturn.platform..");
+
     @ArchTest
     static final ArchRule decisionsReadNoClock =
             noClasses()
--- /dev/null
+++ b/src/test/java/hyssopturn/chain/ChainSearchTest.java
@@ -0,0 +1,134 @@
+package hyssopturn.chain;
+
+import static hyssopturn.chain.Engines.LARGE;
+import static hyssopturn.chain.Engines.LAYERS;
+import static hyssopturn.chain.Engines.ROOMY;
+import static hyssopturn.chain.Engines.ROOMY_SLOW;
+import static hyssopturn.chain.Engines.SPEC;
+import static hyssopturn.chain.Engines.holding;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+
+import hyssopturn.fleet.Endpoint;
+import hyssopturn.model.InstanceId;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+class ChainSearchTest {
+    private static final ChainSearch.Size SIZE = new ChainSearch.Size(800, 154);
+
+    private static Optional<EngineChain> search(List<Endpoint> engines, String... excluded) {
+        return search(engines, new EngineLoad(1), excluded);
+    }
+
+    private static Optional<EngineChain> search(
+            List<Endpoint> engines, EngineLoad load, String... excluded) {
+        Set<InstanceId> without =
+                Set.copyOf(List.of(excluded).stream().map(InstanceId::new).toList());
+        return new ChainSearch(SPEC, load).cheapest(engines, "a", SIZE, without, e -> true);
+    }
+
+    @Nested
+    class OwnZone {
+        private final List<Endpoint> engines =
+                List.of(
+                        holding("a1", "a", ROOMY_SLOW, 0, 40),
+                        holding("a2", "a", ROOMY_SLOW, 40, 80),
+                        holding("b1", "b", ROOMY, 0, 40),
+                        holding("b2", "b", ROOMY, 40, 80));
+
+        @Test
+        void comesFirstThoughOthersAreFaster() {
+            assertThat(search(engines).orElseThrow().toString(), equalTo("a1=0-40,a2=40-80"));
+        }
+
+        @Test
+        void isLeftWhenALayerIsMissing() {
+            assertThat(search(engines, "a2").orElseThrow().uses(new InstanceId("b2")), is(true));
+        }
+    }
+
+    @Nested
+    class Engine {
+        @Test
+        void mayRunAPartOfItsLayers() {
+            List<Endpoint> engines =
+                    List.of(
+                            holding("a1", "a", ROOMY, 0, 50),
+                            holding("a2", "a", ROOMY_SLOW, 30, 80));
+            assertThat(search(engines).orElseThrow().toString(), equalTo("a1=0-50,a2=50-80"));
+        }
+
+        @Test
+        void withoutMemoryIsNotUsed() {
+            List<Endpoint> engines = List.of(holding("a1", "a", LARGE, 0, 80));
+            assertThat(search(engines), equalTo(Optional.empty()));
+        }
+
+        @Test
+        void fullOfOwnRequestsIsNotUsed() {
+            List<Endpoint> engines =
+                    List.of(
+                            holding("a1", "a", LARGE, 0, 16),
+                            holding("a2", "a", LARGE, 16, 32),
+                            holding("a3", "a", LARGE, 32, 48),
+                            holding("a4", "a", LARGE, 48, 64),
+                            holding("a5", "a", LARGE, 64, 80));
+            EngineLoad load = new EngineLoad(1);
+            int admitted = 0;
+            for (Optional<EngineChain> c = search(engines, load);
+                    c.isPresent();
+                    c = search(engines, load)) {
+                load.add(c.get(), SIZE.tokens());
+                admitted++;
+            }
+            double fit = SPEC.tokensBeside(SPEC.kind(LARGE).orElseThrow(), 16);
+            assertThat(admitted, equalTo((int) (fit / SIZE.tokens())));
+        }
+    }
+
+    @Property(tries = 300)
+    void everyChainRunsEachLayerOnceAndFindsOneIfThereIsOne(@ForAll Random random) {
+        List<Endpoint> engines = new ArrayList<>();
+        boolean[] held = new boolean[LAYERS];
+        for (int i = 0; i < 14; i++) {
+            int from = random.nextInt(LAYERS);
+            int to = Math.min(LAYERS, from + 1 + random.nextInt(16));
+            engines.add(holding("e" + i, random.nextBoolean() ? "a" : "b", LARGE, from, to));
+            for (int layer = from; layer < to; layer++) {
+                held[layer] = true;
+            }
+        }
+        boolean whole = true;
+        for (boolean layer : held) {
+            whole &= layer;
+        }
+        Optional<EngineChain> chain = search(engines);
+        assertThat(chain.isPresent(), is(whole));
+        chain.ifPresent(
+                c -> {
+                    assertThat(c.hops().getLast().range().to(), equalTo(LAYERS));
+                    c.hops()
+                            .forEach(
+                                    h ->
+                                            assertThat(
+                                                    h.engine()
+                                                            .layers()
+                                                            .orElseThrow()
+                                                            .contains(h.range()),
+                                                    is(true)));
+                });
+    }
+}
--- /dev/null
+++ b/src/test/java/hyssopturn/chain/LayerPlannerTest.java
@@ -0,0 +1,155 @@
+package hyssopturn.chain;
+
+import static hyssopturn.chain.Engines.LARGE;
+import static hyssopturn.chain.Engines.LAYERS;
+import static hyssopturn.chain.Engines.MEDIUM;
+import static hyssopturn.chain.Engines.SMALL;
+import static hyssopturn.chain.Engines.SPEC;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import hyssopturn.fleet.Endpoint;
+import hyssopturn.model.LayerRange;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+class LayerPlannerTest {
+    private static final String[] KINDS = {LARGE, MEDIUM, SMALL};
+    private static final String[] ZONES = {"a", "b", "c"};
+
+    private static List<Endpoint> zone(String zone, int large, int medium, int small) {
+        List<Endpoint> engines = new ArrayList<>();
+        int[] counts = {large, medium, small};
+        for (int kind = 0; kind < KINDS.length; kind++) {
+            for (int i = 0; i < counts[kind]; i++) {
+                engines.add(Engines.empty(zone + "-" + KINDS[kind] + i, zone, KINDS[kind]));
+            }
+        }
+        return engines;
+    }
+
+    private static List<Endpoint> apply(
+            List<Endpoint> engines, List<LayerPlanner.Assignment> plan) {
+        Map<Endpoint, LayerRange> ranges = new HashMap<>();
+        plan.forEach(a -> ranges.put(a.engine(), a.range()));
+        return engines.stream()
+                .map(e -> ranges.containsKey(e) ? e.holding(ranges.get(e)) : e)
+                .toList();
+    }
+
+    private static int[] copies(List<Endpoint> engines) {
+        int[] copies = new int[LAYERS];
+        for (Endpoint engine : engines) {
+            engine.layers()
+                    .ifPresent(r -> IntStream.range(r.from(), r.to()).forEach(i -> copies[i]++));
+        }
+        return copies;
+    }
+
+    private static boolean covered(List<Endpoint> engines) {
+        return IntStream.of(copies(engines)).allMatch(c -> c > 0);
+    }
+
+    private static List<Endpoint> of(List<Endpoint> engines, String zone) {
+        return engines.stream().filter(e -> e.zone().equals(zone)).toList();
+    }
+
+    @Nested
+    class EmptyEngines {
+        @Test
+        void eachZoneWithEnoughMemoryHoldsTheWholeModel() {
+            List<Endpoint> engines = new ArrayList<>(zone("a", 3, 3, 5));
+            engines.addAll(zone("b", 1, 5, 8));
+            engines.addAll(zone("c", 1, 7, 5));
+            List<Endpoint> placed = apply(engines, new LayerPlanner(SPEC).plan(engines));
+            for (String zone : ZONES) {
+                assertThat(zone, covered(of(placed, zone)), is(true));
+            }
+        }
+
+        @Test
+        void zonesThatAreTooSmallHoldTheModelTogether() {
+            List<Endpoint> engines = new ArrayList<>(zone("a", 2, 2, 1));
+            engines.addAll(zone("b", 1, 2, 2));
+            List<Endpoint> placed = apply(engines, new LayerPlanner(SPEC).plan(engines));
+            assertThat(covered(placed), is(true));
+        }
+
+        @Property(tries = 200)
+        void noEngineHoldsMoreThanItsMemory(@ForAll Random random) {
+            List<Endpoint> engines = new ArrayList<>();
+            for (int i = random.nextInt(40); i >= 0; i--) {
+                String kind = KINDS[random.nextInt(KINDS.length)];
+                engines.add(Engines.empty("e" + i, ZONES[random.nextInt(ZONES.length)], kind));
+            }
+            for (LayerPlanner.Assignment a : new LayerPlanner(SPEC).plan(engines)) {
+                double memory = SPEC.kind(a.engine().kind()).orElseThrow().memoryMb();
+                assertThat(memory, greaterThanOrEqualTo(a.range().size() * SPEC.layerMb()));
+            }
+        }
+    }
+
+    @Nested
+    class Changes {
+        private final List<Endpoint> engines = zone("b", 1, 5, 8);
+        private final List<Endpoint> placed = apply(engines, new LayerPlanner(SPEC).plan(engines));
+
+        @Test
+        void nothingMovesWhileEveryLayerIsHeld() {
+            assertThat(new LayerPlanner(SPEC).plan(placed), empty());
+        }
+
+        @Test
+        void aSpareEngineTakesLayersThatNobodyHolds() {
+            int[] copies = copies(placed);
+            Endpoint sole =
+                    placed.stream()
+                            .filter(e -> copies[e.layers().orElseThrow().to() - 1] == 1)
+                            .findFirst()
+                            .orElseThrow();
+            List<Endpoint> rest = placed.stream().filter(e -> !e.equals(sole)).toList();
+            List<LayerPlanner.Assignment> plan = new LayerPlanner(SPEC).plan(rest);
+            assertThat(plan, hasSize(1));
+            assertThat(covered(apply(rest, plan)), is(true));
+        }
+
+        @Property(tries = 100)
+        void oneEngineLessIsMendedInAFewMoves(@ForAll @IntRange(min = 0, max = 13) int lost) {
+            List<Endpoint> rest = new ArrayList<>(placed);
+            rest.remove(lost);
+            List<Endpoint> now = rest;
+            for (int round = 0; round < 8; round++) {
+                now = apply(now, new LayerPlanner(SPEC).plan(now));
+            }
+            assertThat(covered(now), is(true));
+            assertThat(new LayerPlanner(SPEC).plan(now), empty());
+        }
+
+        @Test
+        void aNewEngineIsUsed() {
+            List<Endpoint> more = new ArrayList<>(placed);
+            more.add(Engines.empty("new", "b", MEDIUM));
+            List<LayerPlanner.Assignment> plan = new LayerPlanner(SPEC).plan(more);
+            assertThat(
+                    plan.stream().map(a -> a.engine().id().value()).toList(),
+                    equalTo(List.of("new")));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/hyssopturn/fleet/RosterTest.java
@@ -0,0 +1,140 @@
+package hyssopturn.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import hyssopturn.model.Address;
+import hyssopturn.model.InstanceId;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+class RosterTest {
+    private static final String SERVICE = "records";
+    private static final InstanceId ID = new InstanceId("e1");
+
+    private final Roster roster = new Roster();
+
+    private static Endpoint endpoint(boolean leaving, long incarnation, long heartbeat) {
+        return new Endpoint(
+                ID,
+                SERVICE,
+                new Address("10.0.0.1", 8_000),
+                "a",
+                6,
+                leaving,
+                "",
+                Optional.empty(),
+                incarnation,
+                heartbeat);
+    }
+
+    private static long at(long millis) {
+        return Duration.ofMillis(millis).toNanos();
+    }
+
+    private List<Endpoint> usable(long millis) {
+        return roster.usable(SERVICE, at(millis));
+    }
+
+    @Nested
+    class Leaving {
+        @Test
+        void endsUseAtOnce() {
+            roster.announce(endpoint(false, 1, 1), at(0));
+            roster.announce(endpoint(true, 1, 2), at(100));
+            assertThat(usable(100), empty());
+        }
+
+        @Test
+        void isFinalForAnIncarnation() {
+            roster.announce(endpoint(true, 1, 2), at(0));
+            roster.announce(endpoint(false, 1, 3), at(100));
+            assertThat(usable(100), empty());
+        }
+
+        @Test
+        void doesNotBindTheNextIncarnation() {
+            roster.announce(endpoint(true, 1, 2), at(0));
+            roster.announce(endpoint(false, 2, 1), at(100));
+            assertThat(usable(100), hasSize(1));
+        }
+
+        @Test
+        void ofAnOlderIncarnationIsLeftOut() {
+            roster.announce(endpoint(false, 2, 1), at(0));
+            assertThat(roster.announce(endpoint(true, 1, 9), at(100)), is(false));
+            assertThat(usable(100), hasSize(1));
+        }
+    }
+
+    @Nested
+    class Removal {
+        @Test
+        void endsUseAtOnceWhileTheListIsRead() {
+            roster.announce(endpoint(false, 1, 1), at(0));
+            roster.remove(ID, at(100));
+            assertThat(usable(100), empty());
+        }
+
+        @Test
+        void nearAnOutageOfTheListWaitsForTheEndpointToComeBack() {
+            roster.announce(endpoint(false, 1, 1), at(0));
+            roster.unreadable(at(1_000));
+            roster.remove(ID, at(1_100));
+            assertThat(usable(1_200), hasSize(1));
+            assertThat(usable(1_000 + Roster.LAPSE_GRACE.toMillis()), empty());
+        }
+
+        @Test
+        void ofAnEndpointThatAnnouncedItsLeavingIsNotPutOff() {
+            roster.announce(endpoint(true, 1, 1), at(0));
+            roster.unreadable(at(1_000));
+            roster.remove(ID, at(1_100));
+            assertThat(usable(1_200), empty());
+        }
+
+        @Test
+        void isKnownFromAWholeReadToo() {
+            roster.announce(endpoint(false, 1, 1), at(0));
+            roster.retain(Set.of(), at(100));
+            assertThat(usable(100), empty());
+        }
+
+        @Test
+        void isForgottenAfterwards() {
+            roster.announce(endpoint(false, 1, 1), at(0));
+            roster.remove(ID, at(100));
+            assertThat(roster.purge(at(100)), hasSize(1));
+        }
+    }
+
+    @Nested
+    class Suspicion {
+        @Test
+        void endsUseUntilTheEndpointIsHeardLater() {
+            roster.announce(endpoint(false, 1, 1), at(0));
+            assertThat(roster.suspect(ID, 1, at(100)), is(true));
+            assertThat(usable(200), empty());
+            assertThat(usable(60_000), empty());
+            roster.announce(endpoint(false, 1, 2), at(1_000));
+            assertThat(usable(1_000), empty());
+            assertThat(usable(100 + Roster.SUSPICION.toMillis()), hasSize(1));
+        }
+
+        @Test
+        void doesNotBindTheNextIncarnation() {
+            roster.announce(endpoint(false, 1, 1), at(0));
+            roster.suspect(ID, 1, at(100));
+            roster.announce(endpoint(false, 2, 1), at(200));
+            assertThat(usable(200), hasSize(1));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/hyssopturn/platform/RelayBench.java
@@ -0,0 +1,249 @@
+package hyssopturn.platform;
+
+import hyssopturn.catalog.Catalog;
+import hyssopturn.chain.EngineLoad;
+import hyssopturn.fleet.Endpoint;
+import hyssopturn.model.Address;
+import hyssopturn.model.Bytes;
+import hyssopturn.model.InstanceId;
+import hyssopturn.model.LayerRange;
+import hyssopturn.port.Clock;
+import hyssopturn.relay.Knowledge;
+import hyssopturn.relay.Relay;
+import hyssopturn.relay.RelayParts;
+import hyssopturn.relay.RelaySettings;
+import hyssopturn.relay.RetryAllowance;
+import hyssopturn.trace.TraceLog;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Handler;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+
+import java.io.OutputStream;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A relay on loopback between one caller and workers that a test programs. */
+final class RelayBench implements AutoCloseable {
+    static final String BODY = "the caller's body";
+
+    private static final String HOST = "127.0.0.1";
+    private static final String CONFIG =
+            """
+            {"Version":7,"Routes":[
+             {"Name":"w","Host":"town.example","PathPrefix":"/write/","Type":"streaming",
+              "TimeoutMs":20000,"TargetLatencyMs":500,"Service":"writers","MaxAttempts":2,
+              "StreamResume":true,"GapAimMs":200},
+             {"Name":"b","Host":"town.example","PathPrefix":"/book/","Type":"unsafe",
+              "TimeoutMs":20000,"TargetLatencyMs":300,"Service":"records","MaxAttempts":2},
+             {"Name":"l","Host":"town.example","PathPrefix":"/look/","Type":"idempotent",
+              "TimeoutMs":20000,"TargetLatencyMs":3000,"Service":"records","MaxAttempts":2},
+             {"Name":"q","Host":"town.example","PathPrefix":"/quick/","Type":"unsafe",
+              "TimeoutMs":50,"TargetLatencyMs":50,"Service":"records","MaxAttempts":2}],
+             "Services":[{"Name":"records"},{"Name":"writers","Engine":{"Layers":80,
+              "LayerMb":1.0,"KvTokenBytes":80,"step_ms":1.0,"read_per_s":1000.0,
+              "PipeMbps":1000.0,"usual":{"prompt":10,"answer":10},
+              "Kinds":[{"Name":"k","SizeMb":1000.0,"pace":1.0,"ReadX":1.0}],
+              "Models":[{"Name":"m","LoadS":1.0}]}}],
+             "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"IdleTimeoutMs":15000},
+             "Tenants":[{"Name":"ann","ApiKeys":["key-1"]}]}
+            """;
+
+    private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    private final HttpClient client =
+            vertx.createHttpClient(new HttpClientOptions().setKeepAlive(false));
+    private final Knowledge knowledge = new Knowledge();
+    private final List<String> ids = Collections.synchronizedList(new ArrayList<>());
+    private final AtomicInteger count = new AtomicInteger();
+    private final TraceLog trace;
+    private final int port;
+    private volatile long shiftNanos;
+
+    /** What a caller got. */
+    record Answer(int status, MultiMap headers, String body, boolean whole) {}
+
+    RelayBench() {
+        Clock clock = clock();
+        trace = new TraceLog("test", clock, OutputStream.nullOutputStream(), 1_000);
+        Catalog catalog = CatalogDecoder.decode(Bytes.utf8(CONFIG));
+        knowledge.offer(catalog);
+        RelayParts parts =
+                new RelayParts(
+                        knowledge,
+                        new HeaderDialect(),
+                        client,
+                        clock,
+                        new SplittableRandom(1),
+                        new RetryAllowance(0.2, Duration.ofSeconds(10).toNanos(), 100),
+                        new EngineLoad(1),
+                        trace,
+                        new SimpleMeterRegistry(),
+                        new RelaySettings(
+                                "a",
+                                Duration.ofSeconds(5),
+                                Duration.ofSeconds(10),
+                                Duration.ofSeconds(10),
+                                Duration.ofSeconds(1)));
+        Relay relay = new Relay(parts, new HttpEngineControl(new HttpCalls(client)));
+        HttpServer server = vertx.createHttpServer().requestHandler(relay::handle);
+        port = server.listen(0, HOST).await().actualPort();
+    }
+
+    private Clock clock() {
+        long start = System.nanoTime();
+        return new Clock() {
+            @Override
+            public long nanos() {
+                return System.nanoTime() - start + shiftNanos;
+            }
+
+            @Override
+            public long wallMillis() {
+                return 0;
+            }
+
+            @Override
+            public Timer after(Duration delay, Runnable task) {
+                long timer = vertx.setTimer(Math.max(1, delay.toMillis()), id -> task.run());
+                return () -> vertx.cancelTimer(timer);
+            }
+        };
+    }
+
+    /** Lets the time pass after which an unconfirmed configuration proves nothing. */
+    void forgetConfirmation() {
+        shiftNanos = Knowledge.FRESH.toNanos();
+    }
+
+    /** Starts a worker that holds every layer. */
+    void engine(String id, Handler<HttpServerRequest> handler) {
+        start(id, "writers", "k", Optional.of(new LayerRange(0, 80)), handler);
+    }
+
+    /** Starts a worker of the plain service. */
+    void service(String id, Handler<HttpServerRequest> handler) {
+        start(id, "records", "", Optional.empty(), handler);
+    }
+
+    private void start(
+            String id,
+            String service,
+            String kind,
+            Optional<LayerRange> layers,
+            Handler<HttpServerRequest> handler) {
+        HttpServer server =
+                vertx.createHttpServer()
+                        .requestHandler(
+                                r -> {
+                                    ids.add(r.getHeader("Hyssopturn-Attempt-Id"));
+                                    handler.handle(r);
+                                });
+        int bound = server.listen(0, HOST).await().actualPort();
+        Endpoint endpoint =
+                new Endpoint(
+                        new InstanceId(id),
+                        service,
+                        new Address(HOST, bound),
+                        "a",
+                        6,
+                        false,
+                        kind,
+                        layers,
+                        1,
+                        1);
+        onLoop(() -> knowledge.roster().announce(endpoint, 0));
+    }
+
+    private void onLoop(Runnable task) {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        vertx.runOnContext(
+                v -> {
+                    task.run();
+                    done.complete(null);
+                });
+        done.join();
+    }
+
+    /** Ids of the requests that reached workers. */
+    List<String> ids() {
+        return List.copyOf(ids);
+    }
+
+    /** An answer with the headers that a worker's own answers bear. */
+    static HttpServerResponse signed(HttpServerRequest request) {
+        return request.response()
+                .putHeader("Hyssopturn-Attempt-Id", request.getHeader("Hyssopturn-Attempt-Id"))
+                .putHeader("Hyssopturn-Server-Seal", "signature");
+    }
+
+    Answer call(String path, Map<String, String> headers) {
+        return send(path, headers).compose(RelayBench::read).await();
+    }
+
+    private Future<HttpClientResponse> send(String path, Map<String, String> headers) {
+        return client.request(HttpMethod.POST, port, HOST, path)
+                .compose(
+                        request -> {
+                            request.putHeader("Host", "town.example");
+                            request.putHeader("X-Api-Key", "key-1");
+                            request.putHeader(
+                                    "Hyssopturn-Attempt-Id", "r" + count.incrementAndGet());
+                            request.putHeader("Hyssopturn-Token-Counts", "10,10");
+                            request.putHeader("Hyssopturn-Deadline-Ms", "10000");
+                            headers.forEach(request::putHeader);
+                            return request.send(BODY);
+                        });
+    }
+
+    private static Future<Answer> read(HttpClientResponse response) {
+        Buffer body = Buffer.buffer();
+        response.handler(body::appendBuffer);
+        return response.end()
+                .map(true)
+                .otherwise(false)
+                .map(
+                        whole ->
+                                new Answer(
+                                        response.statusCode(),
+                                        response.headers(),
+                                        body.toString(),
+                                        whole));
+    }
+
+    /** Calls, and closes the connection once a worker has the request. */
+    void callAndLeave(String path, CompletableFuture<Void> arrived) {
+        client.request(HttpMethod.POST, port, HOST, path)
+                .onSuccess(
+                        request -> {
+                            request.putHeader("Host", "town.example");
+                            request.putHeader("X-Api-Key", "key-1");
+                            request.putHeader("Hyssopturn-Attempt-Id", "leaver");
+                            request.send(BODY);
+                            arrived.thenRun(() -> request.connection().close());
+                        });
+    }
+
+    @Override
+    public void close() {
+        trace.close();
+        vertx.close().await();
+    }
+}
