--- a/src/main/java/hyssopturn/chain/ChainSearch.java
+++ b/src/main/java/hyssopturn/chain/ChainSearch.java
@@ -8,6 +8,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableSet;
@@ -71,7 +72,7 @@
 
     private record Label(int layer, Endpoint last, int start, double cost, Label before) {
         boolean uses(InstanceId id) {
-            return last != null && (last.id().equals(id) || before.uses(id));
+            return last != null && (last.id().equals(id) || (before != null && before.uses(id)));
         }
     }
 
@@ -95,26 +96,76 @@
             Predicate<Endpoint> mayBegin) {
         List<Endpoint> candidates = candidates(engines, size, excluded);
         List<Endpoint> near = candidates.stream().filter(e -> e.zone().equals(zone)).toList();
-        return search(near, zone, size, mayBegin)
-                .or(() -> search(candidates, zone, size, mayBegin));
+        Label start = new Label(0, null, 0, 0, null);
+        Goal goal = new Goal(zone, spec.layers(), size, mayBegin);
+        return search(near, start, goal)
+                .or(() -> search(candidates, start, goal))
+                .map(EngineChain::new);
     }
 
-    private Optional<EngineChain> search(
-            List<Endpoint> candidates, String zone, Size size, Predicate<Endpoint> mayBegin) {
-        NavigableSet<Integer> boundaries = boundaries(candidates);
+    /**
+     * Finds engines for the layers of one that failed; the other engines of the chain stay.
+     *
+     * @param chain the chain
+     * @param lost engine that failed; not the first one of the chain
+     * @param engines engines that may be used
+     * @param size size of the request
+     * @param excluded engines that must not be used
+     * @return the chain with other engines in the place of the lost one, empty if there are none
+     */
+    public Optional<EngineChain> around(
+            EngineChain chain,
+            InstanceId lost,
+            List<Endpoint> engines,
+            Size size,
+            Set<InstanceId> excluded) {
+        List<Hop> before = new ArrayList<>();
+        List<Hop> after = new ArrayList<>();
+        LayerRange gap = null;
+        for (Hop hop : chain.hops()) {
+            if (hop.engine().id().equals(lost)) {
+                gap = hop.range();
+            } else {
+                (gap == null ? before : after).add(hop);
+            }
+        }
+        if (gap == null || before.isEmpty()) {
+            return Optional.empty();
+        }
+        Set<InstanceId> barred = new HashSet<>(excluded);
+        chain.hops().forEach(hop -> barred.add(hop.engine().id()));
+        Endpoint previous = before.getLast().engine();
+        Label start = new Label(gap.from(), previous, gap.from(), 0, null);
+        Goal goal = new Goal(previous.zone(), gap.to(), size, e -> true);
+        return search(candidates(engines, size, barred), start, goal)
+                .map(
+                        found -> {
+                            List<Hop> hops = new ArrayList<>(before);
+                            hops.addAll(found);
+                            hops.addAll(after);
+                            return new EngineChain(hops);
+                        });
+    }
+
+    private record Goal(String zone, int layer, Size size, Predicate<Endpoint> mayBegin) {}
+
+    private Optional<List<Hop>> search(List<Endpoint> candidates, Label start, Goal goal) {
+        NavigableSet<Integer> boundaries = boundaries(candidates, goal.layer);
         Map<Vertex, Double> settled = new HashMap<>();
         PriorityQueue<Label> open = new PriorityQueue<>((a, b) -> Double.compare(a.cost, b.cost));
-        open.add(new Label(0, null, 0, 0, null));
+        open.add(start);
         while (!open.isEmpty()) {
             Label label = open.poll();
-            if (label.layer == spec.layers()) {
-                return Optional.of(chain(label));
+            if (label.layer == goal.layer) {
+                return Optional.of(hops(label));
             }
             InstanceId last = label.last == null ? null : label.last.id();
             if (settled.putIfAbsent(new Vertex(label.layer, last), label.cost) == null) {
                 List<Endpoint> next =
-                        last == null ? candidates.stream().filter(mayBegin).toList() : candidates;
-                extend(label, next, boundaries, zone, size, open);
+                        last == null
+                                ? candidates.stream().filter(goal.mayBegin).toList()
+                                : candidates;
+                extend(label, next, boundaries, goal, open);
             }
         }
         return Optional.empty();
@@ -134,8 +185,8 @@
         return load.tokens(engine.id()) + size.tokens() <= spec.tokensBeside(kind, held);
     }
 
-    private NavigableSet<Integer> boundaries(List<Endpoint> engines) {
-        NavigableSet<Integer> boundaries = new TreeSet<>(Set.of(spec.layers()));
+    private NavigableSet<Integer> boundaries(List<Endpoint> engines, int goal) {
+        NavigableSet<Integer> boundaries = new TreeSet<>(Set.of(goal));
         for (Endpoint engine : engines) {
             boundaries.add(engine.layers().orElseThrow().from());
             boundaries.add(engine.layers().orElseThrow().to());
@@ -147,19 +198,19 @@
             Label label,
             List<Endpoint> engines,
             NavigableSet<Integer> boundaries,
-            String zone,
-            Size size,
+            Goal goal,
             PriorityQueue<Label> open) {
-        String from = label.last == null ? zone : label.last.zone();
+        String from = label.last == null ? goal.zone : label.last.zone();
         for (Endpoint engine : engines) {
             LayerRange held = engine.layers().orElseThrow();
             if (held.from() > label.layer || held.to() <= label.layer || label.uses(engine.id())) {
                 continue;
             }
-            for (int end : boundaries.subSet(label.layer, false, held.to(), true)) {
-                double cost = label.cost + hopCost(engine, end - label.layer, size);
+            int most = Math.min(held.to(), goal.layer);
+            for (int end : boundaries.subSet(label.layer, false, most, true)) {
+                double cost = label.cost + hopCost(engine, end - label.layer, goal.size);
                 if (!from.equals(engine.zone())) {
-                    cost += crossingCost(size);
+                    cost += crossingCost(goal.size);
                 }
                 open.add(new Label(end, engine, label.layer, cost, label));
             }
@@ -186,11 +237,11 @@
         return PIPE_QUEUE * transfer + size.answerTokens() * HOP_MILLIS;
     }
 
-    private static EngineChain chain(Label end) {
+    private static List<Hop> hops(Label end) {
         List<Hop> hops = new ArrayList<>();
-        for (Label label = end; label.last != null; label = label.before) {
+        for (Label label = end; label.before != null; label = label.before) {
             hops.addFirst(new Hop(label.last, new LayerRange(label.start, label.layer)));
         }
-        return new EngineChain(hops);
+        return hops;
     }
 }
--- a/src/main/java/hyssopturn/platform/HttpEngineControl.java
+++ b/src/main/java/hyssopturn/platform/HttpEngineControl.java
@@ -16,13 +16,17 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
 
 /** Reports and orders of model workers. */
 final class HttpEngineControl implements EngineControl {
     private static final Duration REPORT_TIMEOUT = Duration.ofMillis(200);
     private static final Duration ORDER_TIMEOUT = Duration.ofMillis(800);
+    private static final Duration REROUTE_TIMEOUT = Duration.ofMillis(300);
+    private static final String EXPECTED = "Hyssopturn-Expect-Instance";
     private static final int OK = 200;
     private static final int ACCEPTED = 202;
     private static final int FENCED = 412;
@@ -62,6 +66,19 @@
         }
     }
 
+    @Override
+    public CompletableFuture<Boolean> reroute(
+            Address engine, InstanceId id, String request, List<Hop> hops) {
+        String path =
+                hops.stream()
+                        .map(hop -> hop.address() + "=" + hop.range())
+                        .collect(Collectors.joining(","));
+        JsonObject order =
+                new JsonObject().put("Operation", "repath").put("Id", request).put("Path", path);
+        return order(engine, id, order, REROUTE_TIMEOUT)
+                .thenApply(answer -> answer.status() == OK || answer.status() == ACCEPTED);
+    }
+
     @Override
     public CompletableFuture<OrderResult> place(
             Address engine, InstanceId id, LayerRange range, long fence) {
@@ -72,19 +89,7 @@
                         .put("To", range.to())
                         .put("Strategy", "queue")
                         .put("FenceToken", fence);
-        Map<String, String> headers =
-                Map.of(
-                        "Content-Type",
-                        "application/json",
-                        "Hyssopturn-Expect-Instance",
-                        id.value());
-        return calls.call(
-                        HttpMethod.POST,
-                        engine,
-                        "/v1/order",
-                        headers,
-                        order.toBuffer(),
-                        ORDER_TIMEOUT)
+        return order(engine, id, order, ORDER_TIMEOUT)
                 .thenApply(
                         answer ->
                                 switch (answer.status()) {
@@ -93,4 +98,11 @@
                                     default -> OrderResult.CONFLICT;
                                 });
     }
+
+    private CompletableFuture<HttpCalls.Answer> order(
+            Address engine, InstanceId id, JsonObject order, Duration timeout) {
+        Map<String, String> headers =
+                Map.of("Content-Type", "application/json", EXPECTED, id.value());
+        return calls.call(HttpMethod.POST, engine, "/v1/order", headers, order.toBuffer(), timeout);
+    }
 }
--- a/src/main/java/hyssopturn/port/EngineControl.java
+++ b/src/main/java/hyssopturn/port/EngineControl.java
@@ -4,6 +4,7 @@
 import hyssopturn.model.InstanceId;
 import hyssopturn.model.LayerRange;
 
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
@@ -28,6 +29,26 @@
         CONFLICT
     }
 
+    /**
+     * Moves a request that is running to other engines behind its first one.
+     *
+     * @param engine where the first engine listens
+     * @param id name that the first engine must have
+     * @param request id of the request
+     * @param hops address and layers of each hop; the first hop must be as before
+     * @return true if the request goes on along these hops; fails with a {@link PortException}
+     */
+    CompletableFuture<Boolean> reroute(
+            Address engine, InstanceId id, String request, List<Hop> hops);
+
+    /**
+     * One engine's part of a request.
+     *
+     * @param address where the engine listens
+     * @param range layers that it runs
+     */
+    record Hop(Address address, LayerRange range) {}
+
     /**
      * Orders an engine to hold layers.
      *
--- a/src/main/java/hyssopturn/relay/StallWatch.java
+++ b/src/main/java/hyssopturn/relay/StallWatch.java
@@ -96,7 +96,7 @@
         }
         for (StreamCall stream : List.copyOf(streams)) {
             if (stream.uses(engine.id())) {
-                stream.recover("engine stalled");
+                stream.leave(engine, engines);
             }
         }
     }
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -6,6 +6,8 @@
 import hyssopturn.fleet.Endpoint;
 import hyssopturn.fleet.Roster;
 import hyssopturn.model.InstanceId;
+import hyssopturn.port.EngineControl;
+import hyssopturn.trace.TraceEvent;
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
@@ -13,6 +15,7 @@
 import io.vertx.core.http.HttpServerRequest;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -213,6 +216,52 @@
         }
     }
 
+    /** Leaves an engine that failed: in place if the others can go on, else at another chain. */
+    void leave(Endpoint engine, EngineControl engines) {
+        excluded.add(engine.id());
+        Roster roster = parts.knowledge().roster();
+        Optional<EngineChain> around =
+                new ChainSearch(spec, parts.load())
+                        .around(
+                                chain.orElseThrow(),
+                                engine.id(),
+                                roster.usable(admitted.service(), now()),
+                                size,
+                                excluded);
+        if (around.isEmpty()) {
+            recover("engine stalled");
+        } else {
+            reroute(generation, around.get(), engines);
+        }
+    }
+
+    private void reroute(int attempt, EngineChain other, EngineControl engines) {
+        parts.load().remove(chain.orElseThrow(), size.tokens());
+        parts.load().add(other, size.tokens());
+        chain = Optional.of(other);
+        Endpoint first = other.first().engine();
+        List<EngineControl.Hop> hops =
+                other.hops().stream()
+                        .map(h -> new EngineControl.Hop(h.engine().address(), h.range()))
+                        .toList();
+        asked(now());
+        engines.reroute(first.address(), first.id(), id(), hops)
+                .whenComplete((done, error) -> rerouted(attempt, error == null && done));
+    }
+
+    private void rerouted(int attempt, boolean done) {
+        if (stale(attempt)) {
+            return;
+        }
+        parts.trace()
+                .record(
+                        new TraceEvent.Rerouted(
+                                id(), chain.map(Object::toString).orElse(""), done));
+        if (!done) {
+            recover("not rerouted");
+        }
+    }
+
     /** Leaves the present chain and goes on at another one. */
     void recover(String cause) {
         if (ended() || chain.isEmpty()) {
--- a/src/main/java/hyssopturn/trace/TraceEvent.java
+++ b/src/main/java/hyssopturn/trace/TraceEvent.java
@@ -159,6 +159,15 @@
      */
     record Stalled(String engine, List<String> requests, String waitsFor) implements TraceEvent {}
 
+    /**
+     * A running stream was moved to other engines behind its first one.
+     *
+     * @param request id of the request
+     * @param chain the new chain
+     * @param done false if the first engine did not take the move
+     */
+    record Rerouted(String request, String chain, boolean done) implements TraceEvent {}
+
     /**
      * Lines were left out because more were due than the log takes.
      *
--- a/src/test/java/hyssopturn/chain/ChainSearchTest.java
+++ b/src/test/java/hyssopturn/chain/ChainSearchTest.java
@@ -99,6 +99,42 @@
         }
     }
 
+    @Nested
+    class LostEngine {
+        private final List<Endpoint> engines =
+                List.of(
+                        holding("a1", "a", ROOMY, 0, 20),
+                        holding("a2", "a", ROOMY, 20, 40),
+                        holding("a3", "a", ROOMY, 40, 80),
+                        holding("b1", "b", ROOMY, 0, 30),
+                        holding("b2", "b", ROOMY, 25, 60));
+        private final EngineChain chain = search(engines, "b1", "b2").orElseThrow();
+
+        private Optional<EngineChain> around(String lost, String... excluded) {
+            Set<InstanceId> without =
+                    Set.copyOf(List.of(excluded).stream().map(InstanceId::new).toList());
+            return new ChainSearch(SPEC, new EngineLoad(1))
+                    .around(chain, new InstanceId(lost), engines, SIZE, without);
+        }
+
+        @Test
+        void isReplacedWhileTheOthersStay() {
+            assertThat(
+                    around("a2").orElseThrow().toString(),
+                    equalTo("a1=0-20,b1=20-30,b2=30-40,a3=40-80"));
+        }
+
+        @Test
+        void cannotBeReplacedInPlaceIfItCameFirst() {
+            assertThat(around("a1"), equalTo(Optional.empty()));
+        }
+
+        @Test
+        void cannotBeReplacedWhenNobodyElseHoldsItsLayers() {
+            assertThat(around("a2", "b1"), equalTo(Optional.empty()));
+        }
+    }
+
     @Property(tries = 300)
     void everyChainRunsEachLayerOnceAndFindsOneIfThereIsOne(@ForAll Random random) {
         List<Endpoint> engines = new ArrayList<>();
--- /dev/null
+++ b/src/test/java/hyssopturn/chain/LayerControllerTest.java
@@ -0,0 +1,214 @@
+package hyssopturn.chain;
+
+import static hyssopturn.chain.Engines.LARGE;
+import static hyssopturn.chain.Engines.SPEC;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
+
+import hyssopturn.catalog.CallerLimits;
+import hyssopturn.catalog.Catalog;
+import hyssopturn.catalog.ServiceSpec;
+import hyssopturn.fleet.Endpoint;
+import hyssopturn.fleet.Roster;
+import hyssopturn.model.Address;
+import hyssopturn.model.InstanceId;
+import hyssopturn.model.LayerRange;
+import hyssopturn.port.Duties;
+import hyssopturn.port.EngineControl;
+import hyssopturn.port.InDoubtException;
+import hyssopturn.standin.VirtualClock;
+import hyssopturn.trace.TraceLog;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import java.io.OutputStream;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+
+class LayerControllerTest {
+    private static final Duration WHILE = Duration.ofSeconds(4);
+
+    private final VirtualClock clock = new VirtualClock(0);
+    private final Roster roster = new Roster();
+    private final FakeDuties duties = new FakeDuties();
+    private final FakeEngines engines = new FakeEngines();
+    private final TraceLog trace =
+            new TraceLog("n1", clock, OutputStream.nullOutputStream(), 1_000);
+    private final Catalog catalog =
+            new Catalog(
+                    1,
+                    List.of(),
+                    List.of(new ServiceSpec("writers", Optional.of(SPEC))),
+                    Optional.empty(),
+                    new CallerLimits(1, 1, Duration.ZERO));
+    private final LayerController controller =
+            new LayerController(() -> Optional.of(catalog), roster, duties, engines, clock, trace);
+
+    /** Deals the duty of placement to this node, or to another one. */
+    private static final class FakeDuties implements Duties {
+        private OptionalLong fence = OptionalLong.empty();
+        private boolean down;
+
+        @Override
+        public CompletableFuture<OptionalLong> join(Duration keep) {
+            return down
+                    ? CompletableFuture.failedFuture(new InDoubtException("down"))
+                    : CompletableFuture.completedFuture(fence);
+        }
+
+        @Override
+        public CompletableFuture<Void> leave() {
+            return CompletableFuture.completedFuture(null);
+        }
+    }
+
+    private record Order(InstanceId engine, LayerRange range, long fence) {}
+
+    /** Notes orders and answers them as a test wants. */
+    private static final class FakeEngines implements EngineControl {
+        private final List<Order> orders = new ArrayList<>();
+        private CompletableFuture<OrderResult> answer =
+                CompletableFuture.completedFuture(OrderResult.ACCEPTED);
+
+        @Override
+        public CompletableFuture<Map<String, Address>> stalled(Address engine) {
+            return CompletableFuture.completedFuture(Map.of());
+        }
+
+        @Override
+        public CompletableFuture<Boolean> reroute(
+                Address engine, InstanceId id, String request, List<Hop> hops) {
+            return CompletableFuture.completedFuture(false);
+        }
+
+        @Override
+        public CompletableFuture<OrderResult> place(
+                Address engine, InstanceId id, LayerRange range, long fence) {
+            orders.add(new Order(id, range, fence));
+            return answer;
+        }
+    }
+
+    @AfterEach
+    void close() {
+        trace.close();
+    }
+
+    private void announce(Endpoint endpoint) {
+        roster.announce(endpoint, clock.nanos());
+    }
+
+    private void announceFive() {
+        for (int i = 0; i < 5; i++) {
+            announce(Engines.empty("e" + i, "a", LARGE));
+        }
+    }
+
+    @Nested
+    class Holder {
+        @Test
+        void ordersEveryEmptyEngineOnce() {
+            duties.fence = OptionalLong.of(3);
+            announceFive();
+            controller.start();
+            clock.advance(WHILE);
+            assertThat(engines.orders, hasSize(5));
+            assertThat(engines.orders.stream().map(Order::fence).toList(), everyItem(equalTo(3L)));
+        }
+
+        @Test
+        void waitsForEnginesThatHaveJustCome() {
+            duties.fence = OptionalLong.of(3);
+            announceFive();
+            controller.start();
+            clock.advance(Duration.ofSeconds(1));
+            assertThat(engines.orders, empty());
+        }
+
+        @Test
+        void doesNotRepeatAnOrderThatMayStillBeCarriedOut() {
+            duties.fence = OptionalLong.of(3);
+            engines.answer = CompletableFuture.failedFuture(new InDoubtException("silent"));
+            announceFive();
+            controller.start();
+            clock.advance(Duration.ofSeconds(12));
+            assertThat(engines.orders, hasSize(5));
+            clock.advance(Duration.ofSeconds(4));
+            assertThat(engines.orders.size(), greaterThan(5));
+        }
+
+        @Test
+        void ordersARestartedEngineAgain() {
+            duties.fence = OptionalLong.of(3);
+            announceFive();
+            controller.start();
+            clock.advance(WHILE);
+            Endpoint old = Engines.empty("e0", "a", LARGE);
+            announce(
+                    new Endpoint(
+                            old.id(),
+                            old.service(),
+                            old.address(),
+                            old.zone(),
+                            old.slots(),
+                            false,
+                            LARGE,
+                            Optional.empty(),
+                            2,
+                            1));
+            clock.advance(WHILE);
+            assertThat(engines.orders, hasSize(6));
+        }
+    }
+
+    @Nested
+    class WithoutTheDuty {
+        @Test
+        void noOrderIsGiven() {
+            announceFive();
+            controller.start();
+            clock.advance(WHILE);
+            assertThat(engines.orders, empty());
+        }
+
+        @Test
+        void ordersEndWhenTheDutyCannotBeConfirmed() {
+            duties.fence = OptionalLong.of(3);
+            controller.start();
+            clock.advance(WHILE);
+            duties.down = true;
+            clock.advance(WHILE);
+            announceFive();
+            clock.advance(WHILE);
+            assertThat(engines.orders, empty());
+        }
+
+        @Test
+        void anOlderTokenIsNotUsedAgainAfterARefusal() {
+            duties.fence = OptionalLong.of(3);
+            engines.answer = CompletableFuture.completedFuture(EngineControl.OrderResult.FENCED);
+            announceFive();
+            controller.start();
+            clock.advance(WHILE);
+            int given = engines.orders.size();
+            clock.advance(WHILE);
+            assertThat(engines.orders, hasSize(given));
+            duties.fence = OptionalLong.of(4);
+            engines.answer = CompletableFuture.completedFuture(EngineControl.OrderResult.ACCEPTED);
+            clock.advance(WHILE);
+            assertThat(engines.orders.getLast().fence(), equalTo(4L));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/hyssopturn/log/KeyedFollowerTest.java
@@ -0,0 +1,124 @@
+package hyssopturn.log;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+
+import hyssopturn.port.InDoubtException;
+import hyssopturn.port.KeyedLog;
+import hyssopturn.port.PortException;
+import hyssopturn.port.TrimmedException;
+import hyssopturn.standin.VirtualClock;
+
+import org.junit.jupiter.api.Test;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+
+class KeyedFollowerTest {
+    private final VirtualClock clock = new VirtualClock(0);
+    private final FakeLog log = new FakeLog();
+    private final List<String> heard = new ArrayList<>();
+    private final KeyedFollower follower =
+            new KeyedFollower(
+                    log,
+                    "s",
+                    new KeyedFollower.Pacing(Duration.ZERO, Duration.ofSeconds(1)),
+                    clock,
+                    new Backoff(new SplittableRandom(1)),
+                    new KeyedFollower.Listener() {
+                        @Override
+                        public void whole(KeyedLog.Page page) {
+                            page.entries().forEach(e -> heard.add("whole " + e.key()));
+                        }
+
+                        @Override
+                        public void records(KeyedLog.Page page) {
+                            page.entries().forEach(e -> heard.add(e.key()));
+                        }
+
+                        @Override
+                        public void unreadable(PortException error) {
+                            heard.add("unreadable");
+                        }
+                    });
+
+    /** A log whose next answers a test sets. */
+    private static final class FakeLog implements KeyedLog {
+        private final List<Entry> entries = new ArrayList<>();
+        private Optional<PortException> error = Optional.empty();
+        private int reads;
+
+        void append(String key) {
+            entries.add(new Entry(key, Optional.empty(), entries.size()));
+        }
+
+        @Override
+        public CompletableFuture<Page> newest(String stream) {
+            return page(0);
+        }
+
+        @Override
+        public CompletableFuture<Page> read(String stream, long from, Duration wait) {
+            return page((int) from);
+        }
+
+        private CompletableFuture<Page> page(int from) {
+            reads++;
+            if (error.isPresent()) {
+                PortException once = error.get();
+                if (once instanceof TrimmedException) {
+                    error = Optional.empty();
+                }
+                return CompletableFuture.failedFuture(once);
+            }
+            List<Entry> rest = List.copyOf(entries.subList(from, entries.size()));
+            return CompletableFuture.completedFuture(new Page(rest, entries.size()));
+        }
+    }
+
+    @Test
+    void theNewestRecordsComeFirstThenWhatFollows() {
+        log.append("a");
+        follower.start();
+        clock.advance(Duration.ofMillis(100));
+        log.append("b");
+        clock.advance(Duration.ofSeconds(2));
+        assertThat(heard, contains("whole a", "b"));
+    }
+
+    @Test
+    void recordsThatAreNoLongerKeptAreReplacedByTheNewest() {
+        follower.start();
+        clock.advance(Duration.ofMillis(100));
+        log.append("a");
+        log.error = Optional.of(new TrimmedException("gone"));
+        clock.advance(Duration.ofSeconds(2));
+        assertThat(heard, contains("whole a"));
+    }
+
+    @Test
+    void anOutageIsToldAndReadingGoesOnAfterIt() {
+        follower.start();
+        log.error = Optional.of(new InDoubtException("silent"));
+        clock.advance(Duration.ofSeconds(5));
+        assertThat(heard.getLast(), equalTo("unreadable"));
+        log.error = Optional.empty();
+        log.append("a");
+        clock.advance(Duration.ofSeconds(3));
+        assertThat(heard.getLast(), equalTo("a"));
+    }
+
+    @Test
+    void readsArePaced() {
+        follower.start();
+        clock.advance(Duration.ofSeconds(10));
+        assertThat(log.reads, greaterThan(9));
+        assertThat(Math.min(log.reads, 14), equalTo(log.reads));
+    }
+}
