--- a/src/main/java/hyssopturn/chain/LayerController.java
+++ b/src/main/java/hyssopturn/chain/LayerController.java
@@ -140,7 +140,7 @@
             return;
         }
         long now = clock.nanos();
-        List<Endpoint> live = roster.listed(service.name());
+        List<Endpoint> live = roster.lasting(service.name(), now);
         for (Endpoint engine : live) {
             firstSeen.putIfAbsent(engine.id(), now);
         }
--- a/src/main/java/hyssopturn/fleet/Roster.java
+++ b/src/main/java/hyssopturn/fleet/Roster.java
@@ -27,6 +27,9 @@
     /** Least time that an endpoint is left out after it was found unreachable. */
     public static final Duration SUSPICION = Duration.ofMillis(1_500);
 
+    /** Time under suspicion after which an endpoint's work should be given to others. */
+    public static final Duration LOST_AFTER = Duration.ofMillis(700);
+
     private final Map<InstanceId, Entry> entries = new HashMap<>();
     private long outageEndNanos = Long.MIN_VALUE;
 
@@ -37,6 +40,7 @@
         private Endpoint endpoint;
         private long heardNanos;
         private Optional<Long> suspectedNanos = Optional.empty();
+        private long suspectedSinceNanos;
         private Optional<Long> goneNanos = Optional.empty();
         private boolean left;
 
@@ -131,6 +135,9 @@
             return false;
         }
         boolean fresh = !suspected(entry, nowNanos);
+        if (fresh) {
+            entry.suspectedSinceNanos = nowNanos;
+        }
         entry.suspectedNanos = Optional.of(nowNanos);
         return fresh;
     }
@@ -202,13 +209,25 @@
     }
 
     /**
-     * Lists the endpoints of a service that live, also those that no request may use now.
+     * Lists the endpoints of a service that will go on serving, as far as is known: they are
+     * listed, do not leave, and have not been under suspicion for long.
      *
      * @param service name of the service
-     * @return endpoints that are listed and do not leave, in no order
+     * @param nowNanos time now
+     * @return endpoints, in no order
      */
-    public List<Endpoint> listed(String service) {
-        return list(e -> e.goneNanos.isEmpty() && !e.left && e.endpoint.service().equals(service));
+    public List<Endpoint> lasting(String service, long nowNanos) {
+        return list(
+                e ->
+                        e.goneNanos.isEmpty()
+                                && !e.left
+                                && !lost(e, nowNanos)
+                                && e.endpoint.service().equals(service));
+    }
+
+    private static boolean lost(Entry entry, long nowNanos) {
+        return suspected(entry, nowNanos)
+                && nowNanos - entry.suspectedSinceNanos > LOST_AFTER.toNanos();
     }
 
     private List<Endpoint> list(Predicate<Entry> wanted) {
--- a/src/test/java/hyssopturn/fleet/RosterTest.java
+++ b/src/test/java/hyssopturn/fleet/RosterTest.java
@@ -129,6 +129,14 @@
             assertThat(usable(100 + Roster.SUSPICION.toMillis()), hasSize(1));
         }
 
+        @Test
+        void thatLastsGivesTheWorkToOthers() {
+            roster.announce(endpoint(false, 1, 1), at(0));
+            roster.suspect(ID, 1, at(100));
+            assertThat(roster.lasting(SERVICE, at(200)), hasSize(1));
+            assertThat(roster.lasting(SERVICE, at(101 + Roster.LOST_AFTER.toMillis())), empty());
+        }
+
         @Test
         void doesNotBindTheNextIncarnation() {
             roster.announce(endpoint(false, 1, 1), at(0));
