--- a/src/main/java/hyssopturn/chain/LayerController.java
+++ b/src/main/java/hyssopturn/chain/LayerController.java
@@ -22,6 +22,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleConsumer;
 import java.util.function.Supplier;
 
 /**
@@ -37,7 +38,7 @@
     private static final Duration JOIN_INTERVAL = Duration.ofSeconds(1);
     private static final Duration DUTY_KEPT = Duration.ofSeconds(3);
 
-    /** Time without a new engine before the first plan, a little over one heartbeat. */
+    /** Time without a new engine before the first plan of a holder; over one heartbeat. */
     private static final Duration SETTLE = Duration.ofMillis(1_500);
 
     /** Longest time that an order may be on its way. */
@@ -52,12 +53,14 @@
     private final EngineControl engines;
     private final Clock clock;
     private final TraceLog trace;
+    private final DoubleConsumer shares;
     private final Map<InstanceId, Ordered> ordered = new HashMap<>();
     private final Map<InstanceId, Long> firstSeen = new HashMap<>();
     private OptionalLong fence = OptionalLong.empty();
     private long fencedBelow = Long.MIN_VALUE;
     private long heldUntilNanos;
     private long nextJoinNanos;
+    private boolean settled;
     private boolean stopped;
 
     /**
@@ -69,6 +72,7 @@
      * @param engines takes orders
      * @param clock time
      * @param trace structured log
+     * @param shares gets this node's part of what all nodes may use together
      */
     public LayerController(
             Supplier<Optional<Catalog>> catalog,
@@ -76,7 +80,9 @@
             Duties duties,
             EngineControl engines,
             Clock clock,
-            TraceLog trace) {
+            TraceLog trace,
+            DoubleConsumer shares) {
+        this.shares = shares;
         this.catalog = catalog;
         this.roster = roster;
         this.duties = duties;
@@ -110,7 +116,7 @@
         long now = clock.nanos();
         if (now >= nextJoinNanos) {
             nextJoinNanos = now + JOIN_INTERVAL.toNanos();
-            duties.join(DUTY_KEPT).whenComplete((held, error) -> joined(now, held, error));
+            duties.join(DUTY_KEPT).whenComplete((dealt, error) -> joined(now, dealt, error));
         }
         if (holds(now)) {
             catalog.get().ifPresent(c -> c.services().values().forEach(this::place));
@@ -118,12 +124,17 @@
         clock.after(TICK, this::tick);
     }
 
-    private void joined(long askedNanos, OptionalLong held, Throwable error) {
+    private void joined(long askedNanos, Duties.Dealt dealt, Throwable error) {
         if (error != null) {
             logger.atWarning().atMostEvery(WARN_SECONDS, TimeUnit.SECONDS).log(
                     "duties not joined: %s", error);
             return;
         }
+        shares.accept(dealt.share());
+        OptionalLong held = dealt.placement();
+        if (held.isEmpty()) {
+            settled = false;
+        }
         if (!held.equals(fence)) {
             trace.record(new TraceEvent.Duty(held.isPresent(), held.orElse(-1)));
         }
@@ -144,8 +155,7 @@
         for (Endpoint engine : live) {
             firstSeen.putIfAbsent(engine.id(), now);
         }
-        boolean settled =
-                live.stream().allMatch(e -> now - firstSeen.get(e.id()) > SETTLE.toNanos());
+        settled |= live.stream().allMatch(e -> now - firstSeen.get(e.id()) > SETTLE.toNanos());
         if (settled && !live.isEmpty()) {
             order(service.engine().get(), live, now);
         }
--- a/src/main/java/hyssopturn/cli/RouterOptions.java
+++ b/src/main/java/hyssopturn/cli/RouterOptions.java
@@ -51,7 +51,8 @@
                     "nodes-at-most",
                     new Kind.Whole(1, MAX_NODES),
                     "16",
-                    "Nodes that the fixed part of the retry budget is split over");
+                    "Nodes that the fixed part of the retry budget is split over until the platform"
+                            + " has dealt it out");
     static final Setting<Integer> SHARERS =
             new Setting<>(
                     "sharers",
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -69,6 +69,7 @@
         clock = new LoopClock(vertx, vertx.getOrCreateContext());
         trace = new TraceLog(platform.node(), clock, out, settings.logLines());
         SplittableRandom random = new SplittableRandom();
+        RetryAllowance retries = retries(settings);
         HttpClient endpointClient = client(vertx, false, ENDPOINT_CONNECTIONS);
         PlatformAdapter adapter =
                 new PlatformAdapter(
@@ -81,7 +82,7 @@
                                 endpointClient,
                                 clock,
                                 random,
-                                retries(settings),
+                                retries,
                                 new EngineLoad(settings.sharers()),
                                 trace,
                                 meters,
@@ -110,14 +111,16 @@
                         adapter.duties(),
                         adapter.engines(),
                         clock,
-                        trace);
+                        trace,
+                        retries::share);
     }
 
     private RetryAllowance retries(RelayNodeSettings settings) {
         return new RetryAllowance(
                 platform.retryRatio(),
                 platform.retryWindow().toNanos(),
-                platform.retryFixed() / settings.nodesAtMost());
+                platform.retryFixed(),
+                1.0 / settings.nodesAtMost());
     }
 
     private RelaySettings relaySettings(RelayNodeSettings settings) {
--- a/src/main/java/hyssopturn/platform/GroupDuties.java
+++ b/src/main/java/hyssopturn/platform/GroupDuties.java
@@ -13,7 +13,9 @@
 /**
  * Duties dealt out by a consumer group of the log: whoever holds a partition has its duty.
  *
- * <p>The group's generation grows with each change of holders, so it serves as fencing token.
+ * <p>Partitions are dealt out evenly, so a node's part of them is its part of what all nodes may
+ * use together. The group's generation grows with each change of holders, so it serves as fencing
+ * token.
  */
 final class GroupDuties implements Duties {
     private static final String GROUP = "hyssopturn-duties";
@@ -22,15 +24,17 @@
 
     private final Store store;
     private final String member;
+    private final int partitions;
     private long generation;
 
-    GroupDuties(Store store, String member) {
+    GroupDuties(Store store, String member, int partitions) {
         this.store = store;
+        this.partitions = partitions;
         this.member = member;
     }
 
     @Override
-    public CompletableFuture<OptionalLong> join(Duration keep) {
+    public CompletableFuture<Dealt> join(Duration keep) {
         Map<String, Object> message =
                 Map.of(
                         "group", GROUP,
@@ -41,14 +45,16 @@
         return store.post("/v1/log-join", message).thenApply(this::held);
     }
 
-    private OptionalLong held(JsonNode answer) {
+    private Dealt held(JsonNode answer) {
         generation = JsonValue.whole(answer, "Generation");
-        for (JsonNode row : answer.path("parts")) {
+        JsonNode rows = answer.path("parts");
+        OptionalLong placement = OptionalLong.empty();
+        for (JsonNode row : rows) {
             if (row.path(1).asInt(-1) == PLACEMENT) {
-                return OptionalLong.of(generation);
+                placement = OptionalLong.of(generation);
             }
         }
-        return OptionalLong.empty();
+        return new Dealt(placement, Math.min(1, (double) rows.size() / partitions));
     }
 
     @Override
--- a/src/main/java/hyssopturn/platform/HeaderDialect.java
+++ b/src/main/java/hyssopturn/platform/HeaderDialect.java
@@ -21,6 +21,7 @@
     private static final String REQUEST = "Hyssopturn-Attempt-Id";
     private static final String PATIENCE = "Hyssopturn-Deadline-Ms";
     private static final String TOKENS = "Hyssopturn-Token-Counts";
+    private static final String EXPECTED_TOKENS = "Hyssopturn-Length-Hint";
     private static final String KEY = "X-Api-Key";
     private static final String ACCOUNT = "Hyssopturn-Tenant";
     private static final String EXPECTED = "Hyssopturn-Expect-Instance";
@@ -41,6 +42,7 @@
                 Optional.ofNullable(headers.get(KEY)),
                 number(tokens[0]).orElse(0),
                 tokens.length > 1 ? number(tokens[1]).orElse(0) : 0,
+                number(headers.get(EXPECTED_TOKENS)),
                 number(headers.get(RESUME)));
     }
 
--- a/src/main/java/hyssopturn/platform/PlatformAdapter.java
+++ b/src/main/java/hyssopturn/platform/PlatformAdapter.java
@@ -27,7 +27,7 @@
     public PlatformAdapter(
             PlatformSettings settings, HttpClient storeClient, HttpClient engineClient) {
         store = new Store(new HttpCalls(storeClient), settings.store());
-        duties = new GroupDuties(store, settings.node());
+        duties = new GroupDuties(store, settings.node(), settings.partitions());
         engines = new HttpEngineControl(new HttpCalls(engineClient));
     }
 
--- a/src/main/java/hyssopturn/platform/PlatformSettings.java
+++ b/src/main/java/hyssopturn/platform/PlatformSettings.java
@@ -29,7 +29,7 @@
  * @param retryRatio retries to a service for each of its requests
  * @param retryWindow span over which retries are counted
  * @param retryFixed retries that all nodes together may send in that span besides
- * @param dutyLeast least time that a duty is kept for a node that is not heard of
+ * @param partitions number of partitions of a stream of the log
  */
 public record PlatformSettings(
         String node,
@@ -43,7 +43,7 @@
         double retryRatio,
         Duration retryWindow,
         double retryFixed,
-        Duration dutyLeast) {
+        int partitions) {
     private static final TomlMapper TOML = new TomlMapper();
     private static final double MILLIS = 1_000;
 
@@ -80,7 +80,7 @@
                 number(bounds, "BudgetRatio", 0),
                 seconds(bounds, "BudgetWindowS"),
                 number(bounds, "BudgetSlack", 0),
-                Duration.ofMillis(whole(store, "TtlMinMs", 0)));
+                (int) Math.max(1, whole(store, "parts", 1)));
     }
 
     private static Duration seconds(JsonNode node, String field) {
--- a/src/main/java/hyssopturn/port/Duties.java
+++ b/src/main/java/hyssopturn/port/Duties.java
@@ -10,10 +10,18 @@
      * Joins, or stays among, the nodes that duties are dealt to.
      *
      * @param keep how long the platform keeps a duty for a node that it hears nothing of
-     * @return fencing token under which this node holds the duty of placement, empty if another
-     *     node holds it; fails with a {@link PortException}
+     * @return what this node holds; fails with a {@link PortException}
      */
-    CompletableFuture<OptionalLong> join(Duration keep);
+    CompletableFuture<Dealt> join(Duration keep);
+
+    /**
+     * What was dealt to this node.
+     *
+     * @param placement fencing token under which it holds the duty of placement, empty if another
+     *     node holds it
+     * @param share its part of what all nodes may use together, from 0 to 1
+     */
+    record Dealt(OptionalLong placement, double share) {}
 
     /**
      * Gives up all duties, so that others take them at once.
--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -128,6 +128,8 @@
                                 offer.endpoint().id().value(),
                                 offer.chain().map(Object::toString).orElse(""),
                                 offer.resumeAfter().orElse(-1),
+                                admitted.headers().promptTokens(),
+                                admitted.headers().answerTokens(),
                                 offer.patience().toMillis()));
         RequestOptions options =
                 new RequestOptions()
@@ -211,7 +213,9 @@
         if (left().toMillis() <= 0) {
             return "no time left";
         }
-        return parts.retries().retry(admitted.service(), now()) ? "" : "retry budget used up";
+        RetryAllowance.Need need =
+                response.headWritten() ? RetryAllowance.Need.BEGUN : RetryAllowance.Need.NEW;
+        return parts.retries().retry(admitted.service(), need, now()) ? "" : "retry budget used up";
     }
 
     /** Ends a request that no endpoint may have run; the caller may come back. */
--- a/src/main/java/hyssopturn/relay/CallHeaders.java
+++ b/src/main/java/hyssopturn/relay/CallHeaders.java
@@ -12,6 +12,7 @@
  * @param key key of the caller's account
  * @param promptTokens tokens of the prompt, 0 if the caller did not say
  * @param answerTokens greatest number of tokens of the answer, 0 if the caller did not say
+ * @param expectedTokens the caller's guess of the answer's tokens, empty if it made none
  * @param resumeAfter last event that the caller has already, empty for a new stream
  */
 public record CallHeaders(
@@ -20,4 +21,5 @@
         Optional<String> key,
         long promptTokens,
         long answerTokens,
+        OptionalLong expectedTokens,
         OptionalLong resumeAfter) {}
--- a/src/main/java/hyssopturn/relay/RetryAllowance.java
+++ b/src/main/java/hyssopturn/relay/RetryAllowance.java
@@ -21,8 +21,12 @@
     /** Part of the allowance that is used, so that windows cut at other moments keep to it. */
     private static final double MARGIN = 0.8;
 
+    /** Part of the allowance that requests may use of which the caller has nothing yet. */
+    private static final double NEW_PART = 0.7;
+
     private final double ratio;
     private final double fixed;
+    private double share;
     private final long bucketNanos;
     private final Map<String, Window> windows = new HashMap<>();
 
@@ -31,9 +35,11 @@
      *
      * @param ratio retries for each request
      * @param windowNanos length of the window, in nanoseconds
-     * @param fixed this node's share of the retries that are allowed without requests
+     * @param fixed retries that all nodes together may send without requests
+     * @param share this node's part of these, from 0 to 1
      */
-    public RetryAllowance(double ratio, long windowNanos, double fixed) {
+    public RetryAllowance(double ratio, long windowNanos, double fixed, double share) {
+        this.share = share;
         this.ratio = ratio;
         this.fixed = fixed;
         bucketNanos = windowNanos / PARTS;
@@ -67,6 +73,23 @@
         return window;
     }
 
+    /**
+     * Sets this node's part of the fixed number.
+     *
+     * @param part from 0 to 1; the parts of all nodes make up 1 at most
+     */
+    public void share(double part) {
+        share = part;
+    }
+
+    /** What a retry is for. */
+    public enum Need {
+        /** An answer that has begun, which is lost without it. */
+        BEGUN,
+        /** A request of which the caller has nothing yet. */
+        NEW
+    }
+
     /**
      * Notes a request of a caller.
      *
@@ -82,12 +105,16 @@
      * Asks to send a request once more.
      *
      * @param service its service
+     * @param need what it is for
      * @param nowNanos time now, from 0
      * @return true if it may be sent, which is counted
      */
-    public boolean retry(String service, long nowNanos) {
+    public boolean retry(String service, Need need, long nowNanos) {
         Window window = window(service, nowNanos);
-        double allowed = MARGIN * (ratio * Window.sum(window.requests) + fixed);
+        double allowed = MARGIN * (ratio * Window.sum(window.requests) + share * fixed);
+        if (need == Need.NEW) {
+            allowed *= NEW_PART;
+        }
         if (Window.sum(window.retries) + 1 > allowed) {
             return false;
         }
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -45,9 +45,15 @@
         this.spec = spec;
         this.watch = watch;
         progress = new StreamProgress(admitted.headers().resumeAfter());
-        size =
-                new ChainSearch.Size(
-                        admitted.headers().promptTokens(), admitted.headers().answerTokens());
+        size = size(admitted.headers(), spec);
+    }
+
+    /** Answers are rarely as long as they may be, so the guess or the usual length counts. */
+    private static ChainSearch.Size size(CallHeaders headers, EngineSpec spec) {
+        long expected =
+                headers.expectedTokens().orElse(Math.round(Math.ceil(spec.usualAnswerTokens())));
+        return new ChainSearch.Size(
+                headers.promptTokens(), Math.min(headers.answerTokens(), expected));
     }
 
     @Override
--- a/src/main/java/hyssopturn/trace/TraceEvent.java
+++ b/src/main/java/hyssopturn/trace/TraceEvent.java
@@ -96,10 +96,19 @@
      * @param endpoint first endpoint
      * @param chain engines and layers of the chain, empty for a plain service
      * @param after last event that the caller has, -1 if none
+     * @param promptTokens tokens of the prompt
+     * @param answerTokens greatest number of tokens of the answer
      * @param leftMillis time that the endpoint was given, in milliseconds
      */
     record Offered(
-            String request, int attempt, String endpoint, String chain, long after, long leftMillis)
+            String request,
+            int attempt,
+            String endpoint,
+            String chain,
+            long after,
+            long promptTokens,
+            long answerTokens,
+            long leftMillis)
             implements TraceEvent {}
 
     /**
