Read the log in short tries after a failure, on connections of their own

Change: after a failure reads do not wait until one succeeds; delays grow to 300 ms; store calls use a new connection each, as a kept one may be silent. Test: KeyedFollowerTest plays cuts of 3 to 6 s in steps of 50 ms; red before.

--- a/src/main/java/hyssopturn/log/KeyedFollower.java
+++ b/src/main/java/hyssopturn/log/KeyedFollower.java
@@ -28,6 +28,7 @@
     private final Backoff backoff;
     private final Listener listener;
     private long next = -1;
+    private boolean failing;
     private boolean stopped;
 
     /**
@@ -102,7 +103,9 @@
             return;
         }
         boolean whole = next < 0;
-        var page = whole ? log.newest(stream) : log.read(stream, next, pacing.patience());
+        // a read that waits would find out late that the log is back
+        Duration patience = failing ? Duration.ZERO : pacing.patience();
+        var page = whole ? log.newest(stream) : log.read(stream, next, patience);
         page.whenComplete((p, error) -> answered(whole, p, error));
     }
 
@@ -112,6 +115,7 @@
             return;
         }
         backoff.reset();
+        failing = false;
         next = page.next();
         if (whole) {
             listener.whole(page);
@@ -128,6 +132,7 @@
             read();
             return;
         }
+        failing = true;
         logger.atWarning().atMostEvery(WARN_SECONDS, TimeUnit.SECONDS).log(
                 "stream=%s unreadable: %s", stream, cause);
         listener.unreadable(
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -34,6 +34,10 @@
 /** A node between callers and endpoints on the users' platform, all on one event loop. */
 public final class RelayNode {
     private static final Duration ENDPOINT_READ_PAUSE = Duration.ofSeconds(1);
+
+    /** Longest usual delay between tries to read a stream that cannot be read. */
+    private static final Duration READ_AGAIN = Duration.ofMillis(300);
+
     private static final Duration DRAIN_TICK = Duration.ofMillis(50);
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
@@ -70,10 +74,9 @@
         trace = new TraceLog(platform.node(), clock, out, settings.logLines());
         SplittableRandom random = new SplittableRandom();
         RetryAllowance retries = retries(settings);
-        HttpClient endpointClient = client(vertx, false, ENDPOINT_CONNECTIONS);
+        HttpClient endpointClient = client(vertx, ENDPOINT_CONNECTIONS);
         PlatformAdapter adapter =
-                new PlatformAdapter(
-                        platform, client(vertx, true, STORE_CONNECTIONS), endpointClient);
+                new PlatformAdapter(platform, client(vertx, STORE_CONNECTIONS), endpointClient);
         relay =
                 new Relay(
                         new RelayParts(
@@ -94,7 +97,7 @@
                         adapter.configStream(),
                         new KeyedFollower.Pacing(settings.configWait(), Duration.ZERO),
                         clock,
-                        new Backoff(random),
+                        new Backoff(random, READ_AGAIN),
                         new CatalogListener(knowledge, adapter::catalog, clock, trace));
         endpoints =
                 new KeyedFollower(
@@ -102,7 +105,7 @@
                         adapter.endpointStream(),
                         new KeyedFollower.Pacing(Duration.ZERO, ENDPOINT_READ_PAUSE),
                         clock,
-                        new Backoff(random),
+                        new Backoff(random, READ_AGAIN),
                         new RosterListener(knowledge.roster(), adapter::endpoint, clock, trace));
         layers =
                 new LayerController(
@@ -132,10 +135,11 @@
                 settings.retryAfter());
     }
 
-    private static HttpClient client(Vertx vertx, boolean keepAlive, int connections) {
+    /** Connections serve one call each: a kept one may have gone silent without a sign. */
+    private static HttpClient client(Vertx vertx, int connections) {
         HttpClientOptions options =
                 new HttpClientOptions()
-                        .setKeepAlive(keepAlive)
+                        .setKeepAlive(false)
                         .setTcpNoDelay(true)
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
                         .setDecompressionSupported(false);
--- a/src/test/java/hyssopturn/log/KeyedFollowerTest.java
+++ b/src/test/java/hyssopturn/log/KeyedFollowerTest.java
@@ -21,38 +21,46 @@
 import java.util.concurrent.CompletableFuture;
 
 class KeyedFollowerTest {
+    private static final Duration CALL_TIMEOUT = Duration.ofMillis(700);
+    private static final Duration LONG_WAIT = Duration.ofMillis(1_500);
+
     private final VirtualClock clock = new VirtualClock(0);
     private final FakeLog log = new FakeLog();
     private final List<String> heard = new ArrayList<>();
     private final KeyedFollower follower =
-            new KeyedFollower(
-                    log,
-                    "s",
-                    new KeyedFollower.Pacing(Duration.ZERO, Duration.ofSeconds(1)),
-                    clock,
-                    new Backoff(new SplittableRandom(1)),
-                    new KeyedFollower.Listener() {
-                        @Override
-                        public void whole(KeyedLog.Page page) {
-                            page.entries().forEach(e -> heard.add("whole " + e.key()));
-                        }
-
-                        @Override
-                        public void records(KeyedLog.Page page) {
-                            page.entries().forEach(e -> heard.add(e.key()));
-                        }
-
-                        @Override
-                        public void unreadable(PortException error) {
-                            heard.add("unreadable");
-                        }
-                    });
+            follower(new KeyedFollower.Pacing(Duration.ZERO, Duration.ofSeconds(1)));
+
+    private KeyedFollower follower(KeyedFollower.Pacing pacing) {
+        return new KeyedFollower(
+                log,
+                "s",
+                pacing,
+                clock,
+                new Backoff(new SplittableRandom(1), Duration.ofMillis(300)),
+                new KeyedFollower.Listener() {
+                    @Override
+                    public void whole(KeyedLog.Page page) {
+                        page.entries().forEach(e -> heard.add("whole " + e.key()));
+                    }
+
+                    @Override
+                    public void records(KeyedLog.Page page) {
+                        page.entries().forEach(e -> heard.add(e.key()));
+                    }
+
+                    @Override
+                    public void unreadable(PortException error) {
+                        heard.add("unreadable");
+                    }
+                });
+    }
 
     /** A log whose next answers a test sets. */
-    private static final class FakeLog implements KeyedLog {
+    private final class FakeLog implements KeyedLog {
         private final List<Entry> entries = new ArrayList<>();
         private Optional<PortException> error = Optional.empty();
         private int reads;
+        private boolean cut;
 
         void append(String key) {
             entries.add(new Entry(key, Optional.empty(), entries.size()));
@@ -60,16 +68,23 @@
 
         @Override
         public CompletableFuture<Page> newest(String stream) {
-            return page(0);
+            return page(0, Duration.ZERO);
         }
 
         @Override
         public CompletableFuture<Page> read(String stream, long from, Duration wait) {
-            return page((int) from);
+            return page((int) from, wait);
         }
 
-        private CompletableFuture<Page> page(int from) {
+        private CompletableFuture<Page> page(int from, Duration wait) {
             reads++;
+            if (cut) {
+                CompletableFuture<Page> late = new CompletableFuture<>();
+                clock.after(
+                        wait.plus(CALL_TIMEOUT),
+                        () -> late.completeExceptionally(new InDoubtException("silent")));
+                return late;
+            }
             if (error.isPresent()) {
                 PortException once = error.get();
                 if (once instanceof TrimmedException) {
@@ -114,6 +129,24 @@
         assertThat(heard.getLast(), equalTo("a"));
     }
 
+    @Test
+    void aRecordIsHeardWithinTwoSecondsOfTheEndOfACutWheneverThatIs() {
+        KeyedFollower waiting =
+                follower(new KeyedFollower.Pacing(LONG_WAIT, Duration.ofMillis(50)));
+        waiting.start();
+        for (int cutMillis = 3_000; cutMillis < 6_000; cutMillis += 50) {
+            clock.advance(Duration.ofSeconds(5));
+            log.cut = true;
+            clock.advance(Duration.ofMillis(cutMillis));
+            log.cut = false;
+            clock.advance(Duration.ofMillis(250));
+            String key = "after " + cutMillis;
+            log.append(key);
+            clock.advance(Duration.ofMillis(1_750));
+            assertThat(heard.getLast(), equalTo(key));
+        }
+    }
+
     @Test
     void readsArePaced() {
         follower.start();
