Pass faults of engines on through the log

Cause: the holder of placement learnt of a dead engine when its entry lapsed, 3.7 s after the streams of the engine's zone had shown it. Change: what an engine says of another is appended to a stream that all nodes follow; a node's own failure to reach an endpoint is not passed on, because a node that is cut off finds all of them unreachable.

--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -2,6 +2,7 @@
 
 import hyssopturn.chain.EngineLoad;
 import hyssopturn.chain.LayerController;
+import hyssopturn.fleet.FaultReport;
 import hyssopturn.log.Backoff;
 import hyssopturn.log.KeyedFollower;
 import hyssopturn.model.Address;
@@ -38,6 +39,9 @@
     /** Longest usual delay between tries to read a stream that cannot be read. */
     private static final Duration READ_AGAIN = Duration.ofMillis(300);
 
+    /** How long a read of fault reports waits; short enough to leave a silent connection soon. */
+    private static final Duration FAULT_WAIT = Duration.ofSeconds(5);
+
     private static final Duration DRAIN_TICK = Duration.ofMillis(50);
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
@@ -56,6 +60,7 @@
     private final Relay relay;
     private final KeyedFollower config;
     private final KeyedFollower endpoints;
+    private final KeyedFollower faults;
     private final LayerController layers;
 
     /**
@@ -77,6 +82,8 @@
         HttpClient endpointClient = client(vertx, ENDPOINT_CONNECTIONS);
         PlatformAdapter adapter =
                 new PlatformAdapter(platform, client(vertx, STORE_CONNECTIONS), endpointClient);
+        FaultBoard faultBoard =
+                new FaultBoard(adapter.log(), knowledge.roster(), clock, trace, platform.node());
         relay =
                 new Relay(
                         new RelayParts(
@@ -87,6 +94,7 @@
                                 random,
                                 retries,
                                 new EngineLoad(settings.sharers()),
+                                faultBoard,
                                 trace,
                                 meters,
                                 relaySettings(settings)),
@@ -107,6 +115,14 @@
                         clock,
                         new Backoff(random, READ_AGAIN),
                         new RosterListener(knowledge.roster(), adapter::endpoint, clock, trace));
+        faults =
+                new KeyedFollower(
+                        adapter.log(),
+                        FaultReport.STREAM,
+                        new KeyedFollower.Pacing(FAULT_WAIT, Duration.ZERO),
+                        clock,
+                        new Backoff(random),
+                        faultBoard);
         layers =
                 new LayerController(
                         knowledge::catalog,
@@ -159,6 +175,7 @@
                     listen(platform.metrics(), this::metrics);
                     config.start();
                     endpoints.start();
+                    faults.start();
                     layers.start();
                     relay.start();
                 });
--- a/src/main/java/hyssopturn/platform/Store.java
+++ b/src/main/java/hyssopturn/platform/Store.java
@@ -84,6 +84,20 @@
         return new Entry(item.path("Key").asText(), value, item.path("Offset").asLong());
     }
 
+    @Override
+    public CompletableFuture<Void> append(String stream, String key, Bytes value) {
+        byte[] name = key.getBytes(StandardCharsets.UTF_8);
+        Buffer record =
+                Buffer.buffer()
+                        .appendInt(1 + name.length + value.size())
+                        .appendByte((byte) name.length)
+                        .appendBytes(name)
+                        .appendBytes(value.toArray());
+        String uri = "/v1/log-append?Topic=" + KEYED + stream + "&part=0";
+        return calls.call(HttpMethod.POST, address, uri, Map.of(), record, CALL_TIMEOUT)
+                .thenAccept(Store::checked);
+    }
+
     @Override
     public CompletableFuture<Page> read(String stream, long from, Duration wait) {
         String uri =
--- a/src/main/java/hyssopturn/port/KeyedLog.java
+++ b/src/main/java/hyssopturn/port/KeyedLog.java
@@ -34,6 +34,16 @@
      */
     CompletableFuture<Page> newest(String stream);
 
+    /**
+     * Appends a record.
+     *
+     * @param stream name of the stream
+     * @param key key of the record
+     * @param value its value
+     * @return completes when the record is kept; fails with a {@link PortException}
+     */
+    CompletableFuture<Void> append(String stream, String key, Bytes value);
+
     /**
      * Reads records in order.
      *
--- a/src/main/java/hyssopturn/relay/RelayParts.java
+++ b/src/main/java/hyssopturn/relay/RelayParts.java
@@ -1,12 +1,14 @@
 package hyssopturn.relay;
 
 import hyssopturn.chain.EngineLoad;
+import hyssopturn.fleet.Endpoint;
 import hyssopturn.port.Clock;
 import hyssopturn.trace.TraceLog;
 
 import io.micrometer.core.instrument.MeterRegistry;
 import io.vertx.core.http.HttpClient;
 
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 /**
@@ -19,6 +21,7 @@
  * @param random random numbers
  * @param retries how often requests may be sent again
  * @param load what this node has at engines
+ * @param faults gets engines that another engine found unreachable
  * @param trace structured log
  * @param meters counters and histograms
  * @param settings settings
@@ -31,6 +34,7 @@
         RandomGenerator random,
         RetryAllowance retries,
         EngineLoad load,
+        Consumer<Endpoint> faults,
         TraceLog trace,
         MeterRegistry meters,
         RelaySettings settings) {}
--- a/src/main/java/hyssopturn/relay/StallWatch.java
+++ b/src/main/java/hyssopturn/relay/StallWatch.java
@@ -80,15 +80,22 @@
             parts.knowledge()
                     .roster()
                     .at(fault)
-                    .ifPresent(e -> blame(e, quiet, "named by " + first.id()));
+                    .ifPresent(
+                            e -> {
+                                if (blame(e, quiet, "named by " + first.id())) {
+                                    parts.faults().accept(e);
+                                }
+                            });
         }
     }
 
-    private void blame(Endpoint engine, List<StreamCall> quiet, String cause) {
+    /** Moves all streams away from an engine; returns true if it was not suspected before. */
+    private boolean blame(Endpoint engine, List<StreamCall> quiet, String cause) {
         List<String> ids = quiet.stream().map(StreamCall::id).toList();
         parts.trace().record(new TraceEvent.Stalled(engine.id().value(), ids, cause));
         long now = parts.clock().nanos();
-        if (parts.knowledge().roster().suspect(engine.id(), engine.incarnation(), now)) {
+        boolean fresh = parts.knowledge().roster().suspect(engine.id(), engine.incarnation(), now);
+        if (fresh) {
             parts.trace()
                     .record(
                             new TraceEvent.EndpointChanged(
@@ -99,5 +106,6 @@
                 stream.leave(engine, engines);
             }
         }
+        return fresh;
     }
 }
--- a/src/test/java/hyssopturn/log/KeyedFollowerTest.java
+++ b/src/test/java/hyssopturn/log/KeyedFollowerTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.greaterThan;
 
+import hyssopturn.model.Bytes;
 import hyssopturn.port.InDoubtException;
 import hyssopturn.port.KeyedLog;
 import hyssopturn.port.PortException;
@@ -71,6 +72,12 @@
             return page(0, Duration.ZERO);
         }
 
+        @Override
+        public CompletableFuture<Void> append(String stream, String key, Bytes value) {
+            append(key);
+            return CompletableFuture.completedFuture(null);
+        }
+
         @Override
         public CompletableFuture<Page> read(String stream, long from, Duration wait) {
             return page((int) from, wait);
--- a/src/test/java/hyssopturn/platform/RelayBench.java
+++ b/src/test/java/hyssopturn/platform/RelayBench.java
@@ -94,6 +94,7 @@
                         new SplittableRandom(1),
                         new RetryAllowance(0.2, Duration.ofSeconds(10).toNanos(), 100, 1),
                         new EngineLoad(1),
+                        endpoint -> {},
                         trace,
                         new SimpleMeterRegistry(),
                         new RelaySettings(
