--- a/src/main/java/hyssopturn/relay/Relay.java
+++ b/src/main/java/hyssopturn/relay/Relay.java
@@ -16,6 +16,10 @@
 
 /** Entry of requests: finds route and account, reads the body, and starts the call. */
 public final class Relay {
+    /** How long a request waits for a node that has just started to read what it needs. */
+    private static final Duration START_HOLD = Duration.ofMillis(500);
+
+    private static final Duration START_TICK = Duration.ofMillis(20);
     private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
     private static final int TOO_LARGE = 413;
@@ -112,6 +116,10 @@
             refuse(request, Call.UNAVAILABLE, "draining", arrived);
             return;
         }
+        if (!parts.knowledge().complete() && now - arrived < START_HOLD.toNanos()) {
+            parts.clock().after(START_TICK, () -> admitIfOpen(request, body, arrived));
+            return;
+        }
         Optional<Catalog> known = parts.knowledge().catalog();
         if (known.isEmpty()) {
             refuse(request, Call.UNAVAILABLE, "no configuration", arrived);
@@ -133,6 +141,12 @@
         start(request, catalog, route.get(), account, headers, body, arrived);
     }
 
+    private void admitIfOpen(HttpServerRequest request, Buffer body, long arrived) {
+        if (!request.response().closed()) {
+            admit(request, body, arrived);
+        }
+    }
+
     private boolean drainedOut(long now) {
         return drainingNanos.filter(at -> now - at > DRAIN_ACCEPT.toNanos()).isPresent();
     }
--- a/src/test/java/hyssopturn/platform/RelayBench.java
+++ b/src/test/java/hyssopturn/platform/RelayBench.java
@@ -81,10 +81,17 @@
     record Answer(int status, MultiMap headers, String body, boolean whole) {}
 
     RelayBench() {
+        this(true);
+    }
+
+    /** Starts with or without a configuration. */
+    RelayBench(boolean configured) {
         Clock clock = clock();
         trace = new TraceLog("test", clock, OutputStream.nullOutputStream(), 1_000);
         Catalog catalog = CatalogDecoder.decode(Bytes.utf8(CONFIG));
-        knowledge.offer(catalog);
+        if (configured) {
+            knowledge.offer(catalog);
+        }
         RelayParts parts =
                 new RelayParts(
                         knowledge,
@@ -129,6 +136,11 @@
         };
     }
 
+    /** Brings the configuration into force. */
+    void configure() {
+        onLoop(() -> knowledge.offer(CatalogDecoder.decode(Bytes.utf8(CONFIG))));
+    }
+
     /** Lets the time pass after which an unconfirmed configuration proves nothing. */
     void forgetConfirmation() {
         shiftNanos = Knowledge.FRESH.toNanos();
--- a/src/test/java/hyssopturn/platform/RelayPathTest.java
+++ b/src/test/java/hyssopturn/platform/RelayPathTest.java
@@ -232,6 +232,29 @@
         }
     }
 
+    @Nested
+    class AStartingNode {
+        private final RelayBench starting = new RelayBench(false);
+
+        @AfterEach
+        void close() {
+            starting.close();
+        }
+
+        @Test
+        void letsRequestsWaitForItsFirstConfiguration() {
+            var answer = CompletableFuture.supplyAsync(() -> starting.call("/look/x", Map.of()));
+            starting.service("s1", r -> RelayBench.signed(r).end("found"));
+            starting.configure();
+            assertThat(answer.join().body(), equalTo("found"));
+        }
+
+        @Test
+        void refusesWhatItCannotDecideInTheEnd() {
+            assertThat(starting.call("/look/x", Map.of()).status(), equalTo(503));
+        }
+    }
+
     @Nested
     class CallersThatLeave {
         @Test
