Look into a stall after 120 ms

Cause: a stream that waited 250 ms before its first engine was asked was late already (200 ms between events are wanted).

--- a/src/main/java/hyssopturn/cli/RouterOptions.java
+++ b/src/main/java/hyssopturn/cli/RouterOptions.java
@@ -26,13 +26,13 @@
             new Setting<>(
                     "first-event-stall",
                     new Kind.Span(MILLI, MINUTE),
-                    "400ms",
+                    "250ms",
                     "Time without a first event after which an engine is asked why");
     static final Setting<Duration> GAP_STALL =
             new Setting<>(
                     "gap-stall",
                     new Kind.Span(MILLI, MINUTE),
-                    "250ms",
+                    "120ms",
                     "Time without a further event after which an engine is asked why");
     static final Setting<Duration> RETRY_AFTER =
             new Setting<>(
--- a/src/main/java/hyssopturn/relay/StallWatch.java
+++ b/src/main/java/hyssopturn/relay/StallWatch.java
@@ -22,7 +22,7 @@
  * answer itself, every stream that passes the engine at fault goes on at another chain.
  */
 final class StallWatch {
-    private static final Duration TICK = Duration.ofMillis(100);
+    private static final Duration TICK = Duration.ofMillis(40);
 
     private final RelayParts parts;
     private final EngineControl engines;
