Begin at another first engine after a lost answer; explain a request from logs

Change: such an engine is avoided while another can come first. hyssopturn explain REQUEST FILE... tells a request's story with the state that decided it.

--- a/src/main/java/hyssopturn/cli/Program.java
+++ b/src/main/java/hyssopturn/cli/Program.java
@@ -39,6 +39,7 @@
                 new CommandLine(new Program())
                         .addSubcommand(new NodeCommand())
                         .addSubcommand(new RouterCommand())
+                        .addSubcommand(new ExplainCommand())
                         .addSubcommand(new TryCommand())
                         .addSubcommand(new StatusCommand())
                         .addSubcommand(new TimelineCommand())
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -15,8 +15,11 @@
 import io.vertx.core.http.HttpServerRequest;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * A request whose answer is a stream of events from a chain of engines.
@@ -29,6 +32,7 @@
     private final StallWatch watch;
     private final StreamProgress progress;
     private final ChainSearch.Size size;
+    private final Set<InstanceId> avoided = new HashSet<>();
     private Optional<EngineChain> chain = Optional.empty();
     private EventFramer framer = new EventFramer();
     private int generation;
@@ -58,15 +62,9 @@
 
     @Override
     void offer() {
-        Roster roster = parts.knowledge().roster();
         Optional<EngineChain> found =
-                new ChainSearch(spec, parts.load())
-                        .cheapest(
-                                roster.usable(admitted.service(), now()),
-                                parts.settings().zone(),
-                                size,
-                                excluded,
-                                this::mayOffer);
+                chainFrom(e -> mayOffer(e) && !avoided.contains(e.id()))
+                        .or(() -> chainFrom(this::mayOffer));
         if (found.isEmpty()) {
             giveUp("no chain");
             return;
@@ -79,7 +77,19 @@
         Endpoint first = found.get().first().engine();
         boolean earlier = mayHaveRun();
         Offer offer = new Offer(first, found, admitted.account(), left(), progress.last());
-        open(offer).onComplete(r -> send(attempt, earlier, r), e -> unreachable(attempt, first));
+        open(offer)
+                .onComplete(
+                        r -> send(attempt, earlier, first, r), e -> unreachable(attempt, first));
+    }
+
+    private Optional<EngineChain> chainFrom(Predicate<Endpoint> first) {
+        return new ChainSearch(spec, parts.load())
+                .cheapest(
+                        parts.knowledge().roster().usable(admitted.service(), now()),
+                        parts.settings().zone(),
+                        size,
+                        excluded,
+                        first);
     }
 
     private boolean stale(int attempt) {
@@ -94,7 +104,13 @@
         offer();
     }
 
-    private void send(int attempt, boolean earlier, HttpClientRequest opened) {
+    /** The engine may have lost only this answer, so it is avoided and not ruled out. */
+    private void unanswered(int attempt, Endpoint first) {
+        avoided.add(first.id());
+        recover(attempt, "connection failed");
+    }
+
+    private void send(int attempt, boolean earlier, Endpoint first, HttpClientRequest opened) {
         if (stale(attempt)) {
             opened.reset();
             return;
@@ -102,8 +118,7 @@
         sending();
         watch.add(this);
         opened.send(admitted.body())
-                .onComplete(
-                        r -> head(attempt, earlier, r), e -> recover(attempt, "connection failed"));
+                .onComplete(r -> head(attempt, earlier, r), e -> unanswered(attempt, first));
     }
 
     private void head(int attempt, boolean earlier, HttpClientResponse answer) {
--- a/src/test/java/hyssopturn/platform/RelayPathTest.java
+++ b/src/test/java/hyssopturn/platform/RelayPathTest.java
@@ -16,8 +16,10 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 /** The whole path of requests over real connections, between a caller and workers of its own. */
@@ -109,6 +111,40 @@
             assertThat(answer.body(), equalTo(events(0, 2)));
         }
 
+        @Test
+        void beginElsewhereAfterALostAnswer() {
+            List<String> asked = new ArrayList<>();
+            Handler<HttpServerRequest> engine =
+                    r -> {
+                        asked.add(r.getHeader("Hyssopturn-Expect-Instance"));
+                        if (asked.size() == 1) {
+                            r.connection().close();
+                        } else {
+                            stream(r, 0, 2, true);
+                        }
+                    };
+            bench.engine("e1", engine);
+            bench.engine("e2", engine);
+            assertThat(bench.call("/write/x", Map.of()).body(), equalTo(events(0, 2)));
+            assertThat(Set.copyOf(asked), hasSize(2));
+        }
+
+        @Test
+        void beginAtTheSameEngineIfThereIsNoOther() {
+            List<String> asked = new ArrayList<>();
+            bench.engine(
+                    "e1",
+                    r -> {
+                        asked.add("e1");
+                        if (asked.size() == 1) {
+                            r.connection().close();
+                        } else {
+                            stream(r, 0, 2, true);
+                        }
+                    });
+            assertThat(bench.call("/write/x", Map.of()).body(), equalTo(events(0, 2)));
+        }
+
         @Test
         void areRefusedAtOnceWithoutAChain() {
             var answer = bench.call("/write/x", Map.of());
--- /dev/null
+++ b/src/test/java/hyssopturn/trace/StoryTest.java
@@ -0,0 +1,53 @@
+package hyssopturn.trace;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.api.Test;
+
+import java.util.List;
+
+class StoryTest {
+    private static final String CONFIG =
+            "{\"wall_ms\":1,\"node\":\"n1\",\"event\":\"ConfigInForce\",\"version\":4}";
+    private static final String OTHER_NODE =
+            "{\"wall_ms\":2,\"node\":\"n2\",\"event\":\"ConfigInForce\",\"version\":5}";
+    private static final String OFFERED =
+            "  1.5 n1 {\"wall_ms\":1500,\"node\":\"n1\",\"event\":\"Offered\",\"request\":\"r1\","
+                    + "\"endpoint\":\"e1\",\"chain\":\"e1=0-4,e2=4-8\"}";
+    private static final String SUSPECT =
+            "{\"wall_ms\":1600,\"node\":\"n1\",\"event\":\"EndpointChanged\",\"endpoint\":\"e2\"}";
+    private static final String UNUSED =
+            "{\"wall_ms\":1600,\"node\":\"n1\",\"event\":\"EndpointChanged\",\"endpoint\":\"e9\"}";
+    private static final String ENDED =
+            "{\"wall_ms\":1700,\"node\":\"n1\",\"event\":\"Ended\",\"request\":\"r1\","
+                    + "\"outcome\":\"broken\",\"status\":200,\"cause\":\"engine stalled\"}";
+
+    @Test
+    void holdsTheRequestsLinesAndTheStateThatDecidedThem() {
+        Story story = Story.of("r1", List.of(ENDED, OFFERED, UNUSED, SUSPECT, OTHER_NODE, CONFIG));
+        assertThat(
+                story.lines().stream().map(l -> l.path("event").asText()).toList(),
+                equalTo(List.of("ConfigInForce", "Offered", "EndpointChanged", "Ended")));
+        assertThat(story.cause(), containsString("engine stalled"));
+    }
+
+    @Test
+    void passesOverTornAndForeignLines() {
+        Story story = Story.of("r1", List.of("WARNING x", "{\"wall_ms\":12,\"no", ENDED));
+        assertThat(story.known(), is(true));
+        assertThat(story.foreign(), equalTo(2));
+    }
+
+    @Test
+    void ofAnUnknownRequestIsEmpty() {
+        assertThat(Story.of("r2", List.of(ENDED)).known(), is(false));
+    }
+
+    @Test
+    void withoutAnEndSaysSo() {
+        assertThat(Story.of("r1", List.of(OFFERED)).cause(), containsString("no end"));
+    }
+}
