Do not pass on a refusal that does not say that the request has not run

Cause: 503, 429, 421 and 408 promise callers that nothing ran; an endpoint's own 503 without that statement may have run. Change: such an answer ends in doubt, or goes elsewhere if it may run again; connections of callers end after 60 s without a byte. Test: red before (503 was passed on).

--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -43,6 +43,10 @@
     private static final Duration FAULT_WAIT = Duration.ofSeconds(5);
 
     private static final Duration DRAIN_TICK = Duration.ofMillis(50);
+
+    /** Time without a byte after which a caller's connection ends; above any route's timeout. */
+    private static final Duration CALLER_IDLE = Duration.ofSeconds(60);
+
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final int ENDPOINT_CONNECTIONS = 1_000;
@@ -186,6 +190,7 @@
                 new HttpServerOptions()
                         .setTcpNoDelay(true)
                         .setAcceptBacklog(BACKLOG)
+                        .setIdleTimeout((int) CALLER_IDLE.toSeconds())
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
                         .setHandle100ContinueAutomatically(true);
         Future<?> listening =
--- a/src/main/java/hyssopturn/relay/EndpointReply.java
+++ b/src/main/java/hyssopturn/relay/EndpointReply.java
@@ -3,6 +3,7 @@
 import hyssopturn.model.Address;
 
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * What the head of an endpoint's answer says.
@@ -22,6 +23,7 @@
     private static final int SUCCESS_LOW = 200;
     private static final int SUCCESS_HIGH = 299;
     private static final int SERVER_ERROR = 500;
+    private static final Set<Integer> REFUSALS = Set.of(408, 421, 429, 503);
 
     /**
      * Tells whether the endpoint reports success.
@@ -32,6 +34,16 @@
         return status >= SUCCESS_LOW && status <= SUCCESS_HIGH;
     }
 
+    /**
+     * Tells whether the status promises that the request did not run, while the endpoint does not
+     * say so. Passed on, it would mislead the caller into sending the request again.
+     *
+     * @return true if the status must not reach the caller
+     */
+    public boolean unprovedRefusal() {
+        return !notRun && REFUSALS.contains(status);
+    }
+
     /**
      * Tells whether the endpoint failed.
      *
--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -138,6 +138,10 @@
             failed(endpoint, opened, "foreign answer");
             return;
         }
+        if (reply.unprovedRefusal()) {
+            failed(endpoint, opened, "unproved refusal");
+            return;
+        }
         excluded.add(endpoint.id());
         if (reply.failure()
                 && admitted.route().repeat().allowed()
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -141,6 +141,10 @@
             recover(attempt, "foreign answer");
             return;
         }
+        if (reply.unprovedRefusal()) {
+            recover(attempt, "unproved refusal");
+            return;
+        }
         if (!reply.success()) {
             status(attempt, reply, answer);
             return;
--- a/src/test/java/hyssopturn/platform/RelayPathTest.java
+++ b/src/test/java/hyssopturn/platform/RelayPathTest.java
@@ -181,6 +181,14 @@
             assertThat(answer.body(), equalTo("done"));
         }
 
+        @Test
+        void areInDoubtAfterARefusalThatDoesNotSayThatTheyHaveNotRun() {
+            bench.service("s1", r -> RelayBench.signed(r).setStatusCode(503).end());
+            var answer = bench.call("/book/x", Map.of());
+            assertThat(answer.status(), equalTo(502));
+            assertThat(answer.headers().get("Hyssopturn-Server-Seal"), nullValue());
+        }
+
         @Test
         void thatAllRefuseAreRefused() {
             bench.service("s1", RelayPathTest::refuse);
