--- a/src/test/java/hyssopturn/platform/RelayBench.java
+++ b/src/test/java/hyssopturn/platform/RelayBench.java
@@ -45,6 +45,9 @@
 final class RelayBench implements AutoCloseable {
     static final String BODY = "the caller's body";
 
+    /** Long enough that only engines that are silent for good are asked why. */
+    private static final Duration STALL = Duration.ofMillis(400);
+
     private static final String HOST = "127.0.0.1";
     private static final String CONFIG =
             """
@@ -105,12 +108,9 @@
                         trace,
                         new SimpleMeterRegistry(),
                         new RelaySettings(
-                                "a",
-                                Duration.ofSeconds(5),
-                                Duration.ofSeconds(10),
-                                Duration.ofSeconds(10),
-                                Duration.ofSeconds(1)));
+                                "a", Duration.ofSeconds(5), STALL, STALL, Duration.ofSeconds(1)));
         Relay relay = new Relay(parts, new HttpEngineControl(new HttpCalls(client)));
+        relay.start();
         HttpServer server = vertx.createHttpServer().requestHandler(relay::handle);
         port = server.listen(0, HOST).await().actualPort();
     }
@@ -151,12 +151,17 @@
         start(id, "writers", "k", Optional.of(new LayerRange(0, 80)), handler);
     }
 
+    /** Starts a worker that holds some layers; returns where it listens. */
+    Address engine(String id, int from, int to, Handler<HttpServerRequest> handler) {
+        return start(id, "writers", "k", Optional.of(new LayerRange(from, to)), handler);
+    }
+
     /** Starts a worker of the plain service. */
     void service(String id, Handler<HttpServerRequest> handler) {
         start(id, "records", "", Optional.empty(), handler);
     }
 
-    private void start(
+    private Address start(
             String id,
             String service,
             String kind,
@@ -183,6 +188,7 @@
                         1,
                         1);
         onLoop(() -> knowledge.roster().announce(endpoint, 0));
+        return endpoint.address();
     }
 
     private void onLoop(Runnable task) {
