Connections that are given up no longer hold places of later calls

The timeout of a call bounded its wait for a connection, not the connection; opening packets lost in the cut kept all 8 places to the store until their next repetition, 15 s after the first. Ruled out: reads that wait for a change (after a failure none waits; tries are in the log). Change: node.Connections makes both clients, with a timeout for the connection itself; 32 places to the store.

--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -22,10 +22,8 @@
 import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
-import io.vertx.core.http.PoolOptions;
 
 import java.io.OutputStream;
 import java.time.Duration;
@@ -50,9 +48,12 @@
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final int ENDPOINT_CONNECTIONS = 1_000;
-    private static final int STORE_CONNECTIONS = 8;
+    private static final int STORE_CONNECTIONS = 32;
+
+    /** Longest time to connect to the store; above three round trips of a slow one. */
+    private static final Duration STORE_CONNECT = Duration.ofMillis(700);
+
     private static final int BACKLOG = 1_024;
-    private static final int MAX_HEADER_BYTES = 32_768;
 
     private final Vertx vertx;
     private final PlatformSettings platform;
@@ -83,9 +84,13 @@
         trace = new TraceLog(platform.node(), clock, out, settings.logLines());
         SplittableRandom random = new SplittableRandom();
         RetryAllowance retries = retries(settings);
-        HttpClient endpointClient = client(vertx, ENDPOINT_CONNECTIONS);
+        HttpClient endpointClient =
+                Connections.oneCallEach(vertx, ENDPOINT_CONNECTIONS, settings.connectTimeout());
         PlatformAdapter adapter =
-                new PlatformAdapter(platform, client(vertx, STORE_CONNECTIONS), endpointClient);
+                new PlatformAdapter(
+                        platform,
+                        Connections.oneCallEach(vertx, STORE_CONNECTIONS, STORE_CONNECT),
+                        endpointClient);
         FaultBoard faultBoard =
                 new FaultBoard(adapter.log(), knowledge.roster(), clock, trace, platform.node());
         relay =
@@ -155,18 +160,6 @@
                 settings.retryAfter());
     }
 
-    /** Connections serve one call each: a kept one may have gone silent without a sign. */
-    private static HttpClient client(Vertx vertx, int connections) {
-        HttpClientOptions options =
-                new HttpClientOptions()
-                        .setKeepAlive(false)
-                        .setTcpNoDelay(true)
-                        .setMaxHeaderSize(MAX_HEADER_BYTES)
-                        .setDecompressionSupported(false);
-        return vertx.createHttpClient(
-                options, new PoolOptions().setHttp1MaxSize(connections).setCleanerPeriod(0));
-    }
-
     /** Starts controllers and servers on the event loop. */
     public void start() {
         vertx.runOnContext(
@@ -191,7 +184,7 @@
                         .setTcpNoDelay(true)
                         .setAcceptBacklog(BACKLOG)
                         .setIdleTimeout((int) CALLER_IDLE.toSeconds())
-                        .setMaxHeaderSize(MAX_HEADER_BYTES)
+                        .setMaxHeaderSize(Connections.MAX_HEADER_BYTES)
                         .setHandle100ContinueAutomatically(true);
         Future<?> listening =
                 vertx.createHttpServer(options)
