Start faster, leave engines that refuse alone, keep chains within one zone

Cause: (1) after a restart a node loaded 409 classes from its jar, 134 of them the command line's, whose old format the archive left out; (2) after an engine of a zone died, streams and new requests crossed the pipes between zones, whose transfers took seconds; (3) an engine that had just refused for want of memory was offered the next request. Ruled out: store and network (4 ms an answer) for the start; load of engines for (2): only chains over two zones were slow.

--- a/src/main/java/hyssopturn/chain/ChainSearch.java
+++ b/src/main/java/hyssopturn/chain/ChainSearch.java
@@ -7,6 +7,8 @@
 import hyssopturn.model.LayerRange;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -17,6 +19,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /**
  * Finds the chain that is predicted to answer soonest under the load that the node knows of.
@@ -24,9 +27,11 @@
  * <p>Shortest path over pairs of a layer and the engine that ran the one before it. An engine may
  * run a part of the layers that it holds, so a chain may change engines at any boundary of a held
  * range. Crossing between zones costs the transfer of the prompt's activations over the pipe that
- * all crossing requests share. Nodes see only their own load, and those of a zone together can fill
- * its engines evenly only if they keep to them, so other zones are the reserve for when the own
- * zone's engines do not hold every layer or have no memory left.
+ * all crossing requests share; only the way to the first engine carries mere text. Nodes see only
+ * their own load, and those of a zone together can fill its engines evenly only if they keep to
+ * them, so the engines of another zone are the reserve for when the own zone's do not hold every
+ * layer or have no memory left. Chains over several zones come last: the pipes cannot carry the
+ * prompts of a whole zone.
  */
 public final class ChainSearch {
     /** Time that each hop adds to each token for the message to it, in milliseconds. */
@@ -95,12 +100,20 @@
             Set<InstanceId> excluded,
             Predicate<Endpoint> mayBegin) {
         List<Endpoint> candidates = candidates(engines, size, excluded);
-        List<Endpoint> near = candidates.stream().filter(e -> e.zone().equals(zone)).toList();
+        Map<String, List<Endpoint>> zones =
+                candidates.stream().collect(Collectors.groupingBy(Endpoint::zone));
         Label start = new Label(0, null, 0, 0, null);
         Goal goal = new Goal(zone, spec.layers(), size, mayBegin);
-        return search(near, start, goal)
+        return search(zones.getOrDefault(zone, List.of()), start, goal)
+                .or(() -> cheapestZone(zones.values(), start, goal))
                 .or(() -> search(candidates, start, goal))
-                .map(EngineChain::new);
+                .map(end -> new EngineChain(hops(end)));
+    }
+
+    private Optional<Label> cheapestZone(Collection<List<Endpoint>> zones, Label start, Goal goal) {
+        return zones.stream()
+                .flatMap(engines -> search(engines, start, goal).stream())
+                .min(Comparator.comparingDouble(Label::cost));
     }
 
     /**
@@ -141,7 +154,7 @@
                 .map(
                         found -> {
                             List<Hop> hops = new ArrayList<>(before);
-                            hops.addAll(found);
+                            hops.addAll(hops(found));
                             hops.addAll(after);
                             return new EngineChain(hops);
                         });
@@ -149,7 +162,7 @@
 
     private record Goal(String zone, int layer, Size size, Predicate<Endpoint> mayBegin) {}
 
-    private Optional<List<Hop>> search(List<Endpoint> candidates, Label start, Goal goal) {
+    private Optional<Label> search(List<Endpoint> candidates, Label start, Goal goal) {
         NavigableSet<Integer> boundaries = boundaries(candidates, goal.layer);
         Map<Vertex, Double> settled = new HashMap<>();
         PriorityQueue<Label> open = new PriorityQueue<>((a, b) -> Double.compare(a.cost, b.cost));
@@ -157,7 +170,7 @@
         while (!open.isEmpty()) {
             Label label = open.poll();
             if (label.layer == goal.layer) {
-                return Optional.of(hops(label));
+                return Optional.of(label);
             }
             InstanceId last = label.last == null ? null : label.last.id();
             if (settled.putIfAbsent(new Vertex(label.layer, last), label.cost) == null) {
@@ -200,7 +213,8 @@
             NavigableSet<Integer> boundaries,
             Goal goal,
             PriorityQueue<Label> open) {
-        String from = label.last == null ? goal.zone : label.last.zone();
+        boolean first = label.last == null;
+        String from = first ? goal.zone : label.last.zone();
         for (Endpoint engine : engines) {
             LayerRange held = engine.layers().orElseThrow();
             if (held.from() > label.layer || held.to() <= label.layer || label.uses(engine.id())) {
@@ -210,7 +224,7 @@
             for (int end : boundaries.subSet(label.layer, false, most, true)) {
                 double cost = label.cost + hopCost(engine, end - label.layer, goal.size);
                 if (!from.equals(engine.zone())) {
-                    cost += crossingCost(goal.size);
+                    cost += first ? tokenDelay(goal.size) : crossingCost(goal.size);
                 }
                 open.add(new Label(end, engine, label.layer, cost, label));
             }
@@ -234,7 +248,11 @@
     private double crossingCost(Size size) {
         double prompt = size.promptTokens() * spec.activationBytes() * BITS_PER_BYTE;
         double transfer = prompt / (spec.pipeMbps() * BITS_PER_MEGABIT) * MILLIS;
-        return PIPE_QUEUE * transfer + size.answerTokens() * HOP_MILLIS;
+        return PIPE_QUEUE * transfer + tokenDelay(size);
+    }
+
+    private static double tokenDelay(Size size) {
+        return size.answerTokens() * HOP_MILLIS;
     }
 
     private static List<Hop> hops(Label end) {
--- a/src/main/java/hyssopturn/chain/EngineLoad.java
+++ b/src/main/java/hyssopturn/chain/EngineLoad.java
@@ -2,6 +2,7 @@
 
 import hyssopturn.model.InstanceId;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -12,7 +13,11 @@
  * the node takes its own part times the number of nodes that share the zone.
  */
 public final class EngineLoad {
+    /** How long an engine that refused is taken to have no room; requests end about as often. */
+    static final Duration FULL = Duration.ofMillis(200);
+
     private final int sharers;
+    private final Map<InstanceId, Long> refusedNanos = new HashMap<>();
     private final Map<InstanceId, Held> held = new HashMap<>();
 
     /**
@@ -58,6 +63,29 @@
         }
     }
 
+    /**
+     * Notes that an engine refused a request, which mostly means that others filled its memory.
+     *
+     * @param engine the engine
+     * @param nowNanos time now
+     */
+    public void refused(InstanceId engine, long nowNanos) {
+        refusedNanos.values().removeIf(at -> nowNanos - at >= FULL.toNanos());
+        refusedNanos.put(engine, nowNanos);
+    }
+
+    /**
+     * Tells whether an engine refused a request a moment ago.
+     *
+     * @param engine the engine
+     * @param nowNanos time now
+     * @return true if it is better left alone now
+     */
+    public boolean full(InstanceId engine, long nowNanos) {
+        Long at = refusedNanos.get(engine);
+        return at != null && nowNanos - at < FULL.toNanos();
+    }
+
     /**
      * Estimates the requests at an engine.
      *
--- a/src/main/java/hyssopturn/cli/Program.java
+++ b/src/main/java/hyssopturn/cli/Program.java
@@ -8,6 +8,10 @@
 import picocli.CommandLine.Command;
 
 import java.io.PrintWriter;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
 
 /** The {@code hyssopturn} command. */
 @Command(
@@ -35,25 +39,36 @@
      */
     public static int run(String... args) {
         System.setProperty("java.util.logging.SimpleFormatter.format", LOG_LINE);
-        CommandLine line =
-                new CommandLine(new Program())
-                        .addSubcommand(new NodeCommand())
-                        .addSubcommand(new RouterCommand())
-                        .addSubcommand(new ExplainCommand())
-                        .addSubcommand(new TryCommand())
-                        .addSubcommand(new StatusCommand())
-                        .addSubcommand(new TimelineCommand())
-                        .addSubcommand(new TokenCommand())
-                        .addSubcommand(
-                                new CommandLine(new BenchCommand())
-                                        .addSubcommand(new SlopesCommand()))
-                        .addSubcommand("config", ConfigCommand.create())
-                        .addSubcommand("standin", StandinCommand.create())
-                        .addSubcommand("generate-completion", new GenerateCompletion());
+        CommandLine line = new CommandLine(new Program());
+        Map<String, Supplier<?>> commands = commands();
+        if (args.length > 0 && commands.containsKey(args[0])) {
+            // reading the others' options would take a good part of a node's time to start
+            commands.keySet().retainAll(Set.of(args[0]));
+        }
+        commands.forEach((name, command) -> line.addSubcommand(name, command.get()));
         line.setExecutionExceptionHandler((e, command, parsed) -> failed(e, command));
         return line.execute(args);
     }
 
+    private static Map<String, Supplier<?>> commands() {
+        Map<String, Supplier<?>> commands = new LinkedHashMap<>();
+        commands.put("node", NodeCommand::new);
+        commands.put("router", RouterCommand::new);
+        commands.put("selftest", SelftestCommand::new);
+        commands.put("explain", ExplainCommand::new);
+        commands.put("try", TryCommand::new);
+        commands.put("status", StatusCommand::new);
+        commands.put("timeline", TimelineCommand::new);
+        commands.put("token", TokenCommand::new);
+        commands.put(
+                "bench",
+                () -> new CommandLine(new BenchCommand()).addSubcommand(new SlopesCommand()));
+        commands.put("config", ConfigCommand::create);
+        commands.put("standin", StandinCommand::create);
+        commands.put("generate-completion", GenerateCompletion::new);
+        return commands;
+    }
+
     private static int failed(Exception error, CommandLine command) {
         PrintWriter err = command.getErr();
         switch (error) {
--- a/src/main/java/hyssopturn/cli/RouterCommand.java
+++ b/src/main/java/hyssopturn/cli/RouterCommand.java
@@ -49,21 +49,17 @@
         RelayNode node =
                 new RelayNode(
                         vertx(), platform, own(settings), new FileOutputStream(FileDescriptor.out));
+        node.logLibraries();
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime()
                 .addShutdownHook(Thread.ofPlatform().unstarted(() -> stop(node, platform)));
         HangUp.handle(() -> node.reloaded(!PlatformSettings.read(file).equals(platform)));
         node.start();
-        Duration limit = settings.get(RouterOptions.STOP_AFTER);
-        if (limit.isZero()) {
-            stopped.await();
-        } else {
-            Thread.sleep(limit);
-        }
+        stopped.await();
         return ExitCodes.OK;
     }
 
-    private static Vertx vertx() {
+    static Vertx vertx() {
         return Vertx.vertx(
                 new VertxOptions()
                         .setEventLoopPoolSize(1)
--- a/src/main/java/hyssopturn/cli/RouterOptions.java
+++ b/src/main/java/hyssopturn/cli/RouterOptions.java
@@ -32,7 +32,7 @@
             new Setting<>(
                     "gap-stall",
                     new Kind.Span(MILLI, MINUTE),
-                    "120ms",
+                    "90ms",
                     "Time without a further event after which an engine is asked why");
     static final Setting<Duration> RETRY_AFTER =
             new Setting<>(
@@ -66,13 +66,6 @@
                     "200",
                     "Greatest number of log lines in a second");
 
-    static final Setting<Duration> STOP_AFTER =
-            new Setting<>(
-                    "stop-after",
-                    new Kind.Span(Duration.ZERO, Duration.ofDays(1)),
-                    "0s",
-                    "Time after which the node stops by itself, 0s for never");
-
     static final List<Setting<?>> ALL =
             List.of(
                     CONFIG,
@@ -83,8 +76,7 @@
                     CONFIG_WAIT,
                     NODES_AT_MOST,
                     SHARERS,
-                    LOG_LINES,
-                    STOP_AFTER);
+                    LOG_LINES);
 
     private RouterOptions() {}
 }
--- a/src/main/java/hyssopturn/fleet/Roster.java
+++ b/src/main/java/hyssopturn/fleet/Roster.java
@@ -28,7 +28,7 @@
     public static final Duration SUSPICION = Duration.ofMillis(1_500);
 
     /** Time under suspicion after which an endpoint's work should be given to others. */
-    public static final Duration LOST_AFTER = Duration.ofMillis(700);
+    public static final Duration LOST_AFTER = Duration.ofMillis(300);
 
     private final Map<InstanceId, Entry> entries = new HashMap<>();
     private long outageEndNanos = Long.MIN_VALUE;
@@ -154,6 +154,22 @@
         }
     }
 
+    /**
+     * Tells whether an endpoint has begun to leave, or has left the list.
+     *
+     * @param endpoint the endpoint
+     * @param nowNanos time now
+     * @return true if it takes no new work and will soon end
+     */
+    public boolean departing(Endpoint endpoint, long nowNanos) {
+        Entry entry = entries.get(endpoint.id());
+        if (entry == null || entry.endpoint.incarnation() != endpoint.incarnation()) {
+            return true;
+        }
+        boolean gone = entry.goneNanos.isPresent() && !graceful(entry, nowNanos);
+        return entry.left || entry.endpoint.leaving() || gone;
+    }
+
     /**
      * Drops entries that are gone for good.
      *
--- a/src/main/java/hyssopturn/log/KeyedFollower.java
+++ b/src/main/java/hyssopturn/log/KeyedFollower.java
@@ -126,6 +126,9 @@
     }
 
     private void failed(Throwable error) {
+        if (stopped) {
+            return;
+        }
         Throwable cause = error instanceof CompletionException ? error.getCause() : error;
         if (cause instanceof TrimmedException) {
             next = -1;
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -13,6 +13,7 @@
 import hyssopturn.relay.RelayParts;
 import hyssopturn.relay.RelaySettings;
 import hyssopturn.relay.RetryAllowance;
+import hyssopturn.trace.LibraryLog;
 import hyssopturn.trace.TraceEvent;
 import hyssopturn.trace.TraceLog;
 
@@ -27,6 +28,7 @@
 
 import java.io.OutputStream;
 import java.time.Duration;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 
@@ -247,8 +249,14 @@
         clock.after(DRAIN_TICK, () -> awaitIdle(startNanos, least, most, done));
     }
 
-    /** Writes out the log. */
+    /** Brings what libraries log into the node's log; for a process that is nothing else. */
+    public void logLibraries() {
+        LibraryLog.install(trace);
+    }
+
+    /** Stops reading from the platform's log and writes out the own one. */
     public void close() {
+        vertx.runOnContext(v -> List.of(config, endpoints, faults).forEach(KeyedFollower::stop));
         trace.close();
     }
 }
--- a/src/main/java/hyssopturn/platform/PlatformSettings.java
+++ b/src/main/java/hyssopturn/platform/PlatformSettings.java
@@ -24,7 +24,6 @@
  * @param readiness where the platform asks whether callers should be sent here
  * @param metrics where metrics are served; the first port that is free for the system's own use
  * @param store where the platform's log listens
- * @param memoryMb memory of the process, in megabytes
  * @param grace time from the request to stop until the process is killed
  * @param retryRatio retries to a service for each of its requests
  * @param retryWindow span over which retries are counted
@@ -38,7 +37,6 @@
         Address readiness,
         Address metrics,
         Address store,
-        long memoryMb,
         Duration grace,
         double retryRatio,
         Duration retryWindow,
@@ -75,7 +73,6 @@
                 Address.parse(text(listen, "ReadinessAddress")),
                 new Address(text(file, "Ip"), file.path("InternalPorts").path(0).asInt()),
                 Address.parse(text(store, "Address")),
-                whole(file.path("Limits"), "MemoryMb", 0),
                 seconds(bounds, "GraceS"),
                 number(bounds, "BudgetRatio", 0),
                 seconds(bounds, "BudgetWindowS"),
--- /dev/null
+++ b/src/main/java/hyssopturn/platform/StandinPlatform.java
@@ -0,0 +1,270 @@
+package hyssopturn.platform;
+
+import hyssopturn.model.Address;
+import hyssopturn.model.Bytes;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+
+import java.time.Duration;
+import java.util.Base64;
+import java.util.Optional;
+
+/**
+ * A small platform on loopback, on which a node can show that it serves: a store that keeps what it
+ * is told at the start, one model worker that begins empty, and one plain worker.
+ *
+ * <p>Everything runs on the event loop that it is given.
+ */
+public final class StandinPlatform {
+    private static final String HOST = "127.0.0.1";
+    private static final String ENGINE = "engine-1";
+    private static final String PLAIN = "plain-1";
+    private static final String ID = "Hyssopturn-Attempt-Id";
+    private static final int EVENTS = 3;
+    private static final int ACCEPTED = 202;
+    private static final String CONFIG =
+            """
+            {"Version":1,"Routes":[
+             {"Name":"write","Host":"selftest.example","PathPrefix":"/write/","Type":"streaming",
+              "TimeoutMs":5000,"TargetLatencyMs":500,"Service":"writers","MaxAttempts":2,
+              "StreamResume":true,"GapAimMs":500},
+             {"Name":"look","Host":"selftest.example","PathPrefix":"/look/","Type":"idempotent",
+              "TimeoutMs":5000,"TargetLatencyMs":500,"Service":"records","MaxAttempts":2}],
+             "Services":[{"Name":"records"},{"Name":"writers","Engine":{"Layers":4,"LayerMb":1.0,
+              "KvTokenBytes":80,"step_ms":1.0,"read_per_s":1000.0,"PipeMbps":1000.0,
+              "usual":{"prompt":10,"answer":10},
+              "Kinds":[{"Name":"k","SizeMb":1000.0,"pace":1.0,"ReadX":1.0}],
+              "Models":[{"Name":"m","LoadS":1.0}]}}],
+             "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":65536,"IdleTimeoutMs":15000},
+             "Tenants":[{"Name":"selftest","ApiKeys":["selftest-key"]}]}
+            """;
+
+    private final Vertx vertx;
+    private final Address address;
+    private Optional<JsonObject> order = Optional.empty();
+
+    private StandinPlatform(Vertx vertx, Address address) {
+        this.vertx = vertx;
+        this.address = address;
+    }
+
+    /**
+     * Starts a platform at a free port.
+     *
+     * @param vertx event loop
+     * @return the platform
+     */
+    public static Future<StandinPlatform> start(Vertx vertx) {
+        var server = vertx.createHttpServer();
+        var handler = new HandlerHolder();
+        return server.requestHandler(handler::handle)
+                .listen(0, HOST)
+                .map(
+                        listening -> {
+                            Address bound = new Address(HOST, listening.actualPort());
+                            handler.platform = new StandinPlatform(vertx, bound);
+                            return handler.platform;
+                        });
+    }
+
+    /** The port is known only once the server listens, and no request comes before that. */
+    private static final class HandlerHolder {
+        private StandinPlatform platform;
+
+        void handle(HttpServerRequest request) {
+            request.body().onSuccess(body -> platform.handle(request, body));
+        }
+    }
+
+    /**
+     * Lets a node run on this platform.
+     *
+     * @param settings the node's settings on another platform
+     * @param front where callers connect
+     * @param readiness where the node's readiness is asked
+     * @param metrics where the node serves metrics
+     * @return the node's settings on this platform
+     */
+    public PlatformSettings settings(
+            PlatformSettings settings, Address front, Address readiness, Address metrics) {
+        return new PlatformSettings(
+                settings.node(),
+                settings.zone(),
+                front,
+                readiness,
+                metrics,
+                address,
+                settings.grace(),
+                settings.retryRatio(),
+                settings.retryWindow(),
+                settings.retryFixed(),
+                settings.partitions());
+    }
+
+    /**
+     * What a caller got.
+     *
+     * @param status status of the answer
+     * @param body whole body
+     */
+    public record Answer(int status, String body) {}
+
+    /**
+     * Sends a request as a caller would.
+     *
+     * @param front where the node listens
+     * @param path path of the request, which chooses the route
+     * @return the answer
+     */
+    public Future<Answer> call(Address front, String path) {
+        HttpClient client = vertx.createHttpClient(new HttpClientOptions().setKeepAlive(false));
+        return client.request(HttpMethod.POST, front.port(), front.host(), path)
+                .compose(
+                        request ->
+                                request.putHeader("Host", "selftest.example")
+                                        .putHeader("X-Api-Key", "selftest-key")
+                                        .putHeader(ID, "selftest" + path)
+                                        .putHeader("Hyssopturn-Deadline-Ms", "3000")
+                                        .putHeader("Hyssopturn-Token-Counts", "10,10")
+                                        .send("selftest"))
+                .compose(
+                        response ->
+                                response.body()
+                                        .map(b -> new Answer(response.statusCode(), b.toString())))
+                .eventually(client::close);
+    }
+
+    /**
+     * Returns the whole answer of the model worker.
+     *
+     * @return the events
+     */
+    public static String events() {
+        StringBuilder events = new StringBuilder();
+        for (int id = 0; id < EVENTS; id++) {
+            events.append("id: ").append(id).append("\ndata: t").append(id).append("\n\n");
+        }
+        return events.toString();
+    }
+
+    private void handle(HttpServerRequest request, Buffer body) {
+        HttpServerResponse response = request.response();
+        switch (request.path()) {
+            case "/v1/log-newest" -> response.end(newest(request.getParam("Topic")).toBuffer());
+            case "/v1/log-read" -> read(request);
+            case "/v1/log-join" ->
+                    response.end(
+                            new JsonObject()
+                                    .put("Generation", 1)
+                                    .put(
+                                            "parts",
+                                            new JsonArray().add(new JsonArray().add("d").add(0)))
+                                    .toBuffer());
+            case "/v1/log-leave", "/v1/log-append" -> response.end("{}");
+            case "/v1/report" -> response.end("{\"Stalled\":[]}");
+            case "/v1/order" -> {
+                order = Optional.of(body.toJsonObject());
+                response.setStatusCode(ACCEPTED).end();
+            }
+            default -> work(request);
+        }
+    }
+
+    private JsonObject newest(String topic) {
+        JsonArray items = new JsonArray();
+        switch (topic) {
+            case "keyed.op" -> items.add(item("config", CONFIG));
+            case "keyed.servers" -> {
+                items.add(item(ENGINE, announcement("writers", 1).encode()));
+                items.add(item(PLAIN, announcement("records", 1).encode()));
+            }
+            default -> {
+                // nothing was written to the node's own streams
+            }
+        }
+        return new JsonObject().put("Items", items).put("End", items.size());
+    }
+
+    private static JsonObject item(String key, String value) {
+        String encoded = Base64.getEncoder().encodeToString(Bytes.utf8(value).toArray());
+        return new JsonObject().put("Key", key).put("Value", encoded).put("Offset", 0);
+    }
+
+    private JsonObject announcement(String service, long sequence) {
+        JsonObject entry =
+                new JsonObject()
+                        .put("Service", service)
+                        .put("Address", address.toString())
+                        .put("Zone", "selftest")
+                        .put("Version", 1)
+                        .put("Slots", 4)
+                        .put("State", "ready")
+                        .put("born", 1)
+                        .put("Sequence", sequence);
+        if (service.equals("writers")) {
+            entry.put("Type", "k");
+            order.ifPresent(
+                    o ->
+                            entry.put(
+                                    "Layers",
+                                    new JsonObject()
+                                            .put("From", o.getInteger("From"))
+                                            .put("To", o.getInteger("To"))));
+        }
+        return entry;
+    }
+
+    private void read(HttpServerRequest request) {
+        long wait = Long.parseLong(Optional.ofNullable(request.getParam("WaitMs")).orElse("0"));
+        if (wait > 0) {
+            vertx.setTimer(wait, timer -> page(request));
+        } else {
+            page(request);
+        }
+    }
+
+    private void page(HttpServerRequest request) {
+        long from = Long.parseLong(request.getParam("From"));
+        Buffer records = Buffer.buffer();
+        if (request.getParam("Topic").equals("keyed.servers") && order.isPresent()) {
+            byte[] value = announcement("writers", from).toBuffer().getBytes();
+            records.appendInt(1 + ENGINE.length() + value.length)
+                    .appendByte((byte) ENGINE.length())
+                    .appendString(ENGINE)
+                    .appendBytes(value);
+        }
+        long end = from + (records.length() > 0 ? 1 : 0);
+        request.response().end(Buffer.buffer().appendLong(end).appendLong(0).appendBuffer(records));
+    }
+
+    private void work(HttpServerRequest request) {
+        HttpServerResponse response =
+                request.response()
+                        .putHeader(ID, request.getHeader(ID))
+                        .putHeader("Hyssopturn-Server-Seal", "selftest");
+        if (request.path().startsWith("/write/")) {
+            response.setChunked(true).end(events());
+        } else {
+            response.end("found");
+        }
+    }
+
+    /**
+     * Tells how long a node may take until it serves here: the layers are placed only after
+     * announcements have been steady for a while.
+     *
+     * @return the time
+     */
+    public static Duration patience() {
+        return Duration.ofSeconds(10);
+    }
+}
--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -50,6 +50,9 @@
     private boolean mayHaveRun;
     private boolean ended;
     private long firstNanos = -1;
+    private long lastNanos;
+    private long pauseNanos;
+    private Optional<String> failure = Optional.empty();
 
     /** A request that the configuration allows. */
     record Admitted(
@@ -110,10 +113,20 @@
         return !mayHaveRun || admitted.route().repeat().allowed();
     }
 
-    final void firstPart() {
+    /** Notes that the caller gets a part of the answer now. */
+    final void part() {
+        long now = now();
         if (firstNanos < 0) {
-            firstNanos = now();
+            firstNanos = now;
+        } else {
+            pauseNanos = Math.max(pauseNanos, now - lastNanos);
         }
+        lastNanos = now;
+    }
+
+    /** Returns why the last attempt failed, or what stands against a first one. */
+    final String failure(String withoutAttempt) {
+        return failure.orElse(withoutAttempt);
     }
 
     /** Sends the request; the future fails if it certainly was not sent. */
@@ -147,6 +160,10 @@
 
     private HttpClientRequest prepare(HttpClientRequest opened, Offer offer) {
         upstream = Optional.of(opened);
+        opened.exceptionHandler(
+                e -> {
+                    // the future of the answer fails as well, and its handler decides
+                });
         parts.dialect().encode(request.headers(), opened.headers(), offer);
         return opened;
     }
@@ -187,9 +204,22 @@
         release();
     }
 
+    /** Tells whether the request could go to an endpoint that has not had it yet. */
+    final boolean mayOfferAnew() {
+        return offered.size() < admitted.route().maxAttempts()
+                && attempts < MOST_ATTEMPTS
+                && repeatable()
+                && parts.retries().allows(admitted.service(), need(), now());
+    }
+
+    private RetryAllowance.Need need() {
+        return response.headWritten() ? RetryAllowance.Need.BEGUN : RetryAllowance.Need.NEW;
+    }
+
     /** Decides whether the request is offered again, and says so. */
-    final boolean again(Endpoint endpoint, String cause) {
+    final boolean again(Endpoint endpoint, String cause, Optional<InstanceId> fault) {
         String refusal = refusalOfRetry();
+        failure = Optional.of(cause);
         parts.trace()
                 .record(
                         new TraceEvent.AttemptFailed(
@@ -197,6 +227,7 @@
                                 attempts,
                                 endpoint.id().value(),
                                 cause,
+                                fault.map(InstanceId::value).orElse(""),
                                 mayHaveRun,
                                 refusal.isEmpty() ? "retry" : refusal));
         parts.meters().counter("hyssopturn.attempts.failed", "cause", cause).increment();
@@ -213,9 +244,9 @@
         if (left().toMillis() <= 0) {
             return "no time left";
         }
-        RetryAllowance.Need need =
-                response.headWritten() ? RetryAllowance.Need.BEGUN : RetryAllowance.Need.NEW;
-        return parts.retries().retry(admitted.service(), need, now()) ? "" : "retry budget used up";
+        return parts.retries().retry(admitted.service(), need(), now())
+                ? ""
+                : "retry budget used up";
     }
 
     /** Ends a request that no endpoint may have run; the caller may come back. */
@@ -278,6 +309,7 @@
                                 cause,
                                 attempts,
                                 firstNanos < 0 ? -1 : millis(firstNanos),
+                                pauseNanos / MILLI_NANOS,
                                 millis(now),
                                 admitted.catalog().version(),
                                 parts.knowledge().age(now).toMillis()));
--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -32,7 +32,7 @@
     void offer() {
         Optional<Endpoint> choice = choose();
         if (choice.isEmpty()) {
-            giveUp("no endpoint");
+            giveUp(failure("no endpoint"));
             return;
         }
         Endpoint endpoint = choice.get();
@@ -91,7 +91,7 @@
     }
 
     private void slow(Endpoint endpoint) {
-        if (ended() || !current(endpoint) || !again(endpoint, "slow")) {
+        if (ended() || !current(endpoint) || !again(endpoint, "slow", Optional.empty())) {
             return;
         }
         excluded.add(endpoint.id());
@@ -146,12 +146,12 @@
         if (reply.failure()
                 && admitted.route().repeat().allowed()
                 && choose().isPresent()
-                && again(endpoint, "endpoint failed")) {
+                && again(endpoint, "endpoint failed", Optional.empty())) {
             upstreamDone();
             offer();
             return;
         }
-        firstPart();
+        part();
         finish(reply.success() ? "served" : "endpoint-status", reply.status(), "");
         upstreamDone();
         response.setStatusCode(reply.status());
@@ -166,7 +166,7 @@
         opened.reset();
         upstreamDone();
         excluded.add(endpoint.id());
-        if (again(endpoint, cause)) {
+        if (again(endpoint, cause, Optional.empty())) {
             offer();
         } else {
             giveUp(cause);
--- a/src/main/java/hyssopturn/relay/Relay.java
+++ b/src/main/java/hyssopturn/relay/Relay.java
@@ -20,6 +20,10 @@
     private static final Duration START_HOLD = Duration.ofMillis(500);
 
     private static final Duration START_TICK = Duration.ofMillis(20);
+
+    /** How long after the start of a drain new requests are still served. */
+    private static final Duration DRAIN_ACCEPT = Duration.ofMillis(2_800);
+
     private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
     private static final int TOO_LARGE = 413;
@@ -32,9 +36,6 @@
     private Optional<Long> drainingNanos = Optional.empty();
     private int running;
 
-    /** How long after the start of a drain new requests are still served. */
-    private static final Duration DRAIN_ACCEPT = Duration.ofMillis(2_800);
-
     /**
      * Creates a relay that takes no requests yet.
      *
@@ -194,6 +195,7 @@
                                 cause,
                                 0,
                                 -1,
+                                0,
                                 (now - arrived) / MILLI_NANOS,
                                 parts.knowledge().catalog().map(Catalog::version).orElse(-1L),
                                 parts.knowledge().age(now).toMillis()));
--- a/src/main/java/hyssopturn/relay/RetryAllowance.java
+++ b/src/main/java/hyssopturn/relay/RetryAllowance.java
@@ -102,22 +102,35 @@
     }
 
     /**
-     * Asks to send a request once more.
+     * Tells whether a request may be sent once more, without counting it.
      *
      * @param service its service
      * @param need what it is for
      * @param nowNanos time now, from 0
-     * @return true if it may be sent, which is counted
+     * @return true if it may be sent
      */
-    public boolean retry(String service, Need need, long nowNanos) {
+    public boolean allows(String service, Need need, long nowNanos) {
         Window window = window(service, nowNanos);
         double allowed = MARGIN * (ratio * Window.sum(window.requests) + share * fixed);
         if (need == Need.NEW) {
             allowed *= NEW_PART;
         }
-        if (Window.sum(window.retries) + 1 > allowed) {
+        return Window.sum(window.retries) + 1 <= allowed;
+    }
+
+    /**
+     * Asks to send a request once more.
+     *
+     * @param service its service
+     * @param need what it is for
+     * @param nowNanos time now, from 0
+     * @return true if it may be sent, which is counted
+     */
+    public boolean retry(String service, Need need, long nowNanos) {
+        if (!allows(service, need, nowNanos)) {
             return false;
         }
+        Window window = window(service, nowNanos);
         window.retries[(int) (window.bucket % BUCKETS)]++;
         return true;
     }
--- a/src/main/java/hyssopturn/relay/StallWatch.java
+++ b/src/main/java/hyssopturn/relay/StallWatch.java
@@ -22,7 +22,7 @@
  * answer itself, every stream that passes the engine at fault goes on at another chain.
  */
 final class StallWatch {
-    private static final Duration TICK = Duration.ofMillis(40);
+    private static final Duration TICK = Duration.ofMillis(20);
 
     private final RelayParts parts;
     private final EngineControl engines;
@@ -56,9 +56,24 @@
             }
         }
         quiet.forEach(this::ask);
+        moveFromDeparting(now);
         parts.clock().after(TICK, this::tick);
     }
 
+    /**
+     * Moves a stream at a time, the youngest first: those that are moved must be read again by
+     * other engines, where many at once would make the streams there pause.
+     */
+    private void moveFromDeparting(long now) {
+        for (StreamCall stream : List.copyOf(streams).reversed()) {
+            Optional<Endpoint> departing = stream.departing(now);
+            if (departing.isPresent()) {
+                stream.avoidDeparting(departing.get(), engines);
+                return;
+            }
+        }
+    }
+
     private void ask(Endpoint first, List<StreamCall> quiet) {
         engines.stalled(first.address())
                 .whenComplete(
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -3,8 +3,8 @@
 import hyssopturn.catalog.EngineSpec;
 import hyssopturn.chain.ChainSearch;
 import hyssopturn.chain.EngineChain;
+import hyssopturn.chain.Hop;
 import hyssopturn.fleet.Endpoint;
-import hyssopturn.fleet.Roster;
 import hyssopturn.model.InstanceId;
 import hyssopturn.port.EngineControl;
 import hyssopturn.trace.TraceEvent;
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Predicate;
 
 /**
@@ -34,6 +35,7 @@
     private final ChainSearch.Size size;
     private final Set<InstanceId> avoided = new HashSet<>();
     private Optional<EngineChain> chain = Optional.empty();
+    private Optional<InstanceId> fault = Optional.empty();
     private EventFramer framer = new EventFramer();
     private int generation;
     private long progressNanos;
@@ -63,10 +65,10 @@
     @Override
     void offer() {
         Optional<EngineChain> found =
-                chainFrom(e -> mayOffer(e) && !avoided.contains(e.id()))
-                        .or(() -> chainFrom(this::mayOffer));
+                chainFrom(e -> mayOffer(e) && !avoided.contains(e.id()), true)
+                        .or(() -> chainFrom(this::mayOffer, false));
         if (found.isEmpty()) {
-            giveUp("no chain");
+            giveUp(failure("no chain"));
             return;
         }
         chain = found;
@@ -82,14 +84,14 @@
                         r -> send(attempt, earlier, first, r), e -> unreachable(attempt, first));
     }
 
-    private Optional<EngineChain> chainFrom(Predicate<Endpoint> first) {
+    private Optional<EngineChain> chainFrom(Predicate<Endpoint> first, boolean withRoom) {
+        long now = now();
+        List<Endpoint> usable = parts.knowledge().roster().usable(admitted.service(), now);
+        if (withRoom) {
+            usable = usable.stream().filter(e -> !parts.load().full(e.id(), now)).toList();
+        }
         return new ChainSearch(spec, parts.load())
-                .cheapest(
-                        parts.knowledge().roster().usable(admitted.service(), now()),
-                        parts.settings().zone(),
-                        size,
-                        excluded,
-                        first);
+                .cheapest(usable, parts.settings().zone(), size, excluded, first);
     }
 
     private boolean stale(int attempt) {
@@ -128,12 +130,14 @@
         EndpointReply reply = parts.dialect().reply(answer.statusCode(), answer.headers());
         if (reply.notRun()) {
             provedNotRun(earlier);
-            InstanceId fault =
+            InstanceId refusing =
                     reply.fault()
                             .flatMap(parts.knowledge().roster()::at)
                             .orElse(chain.orElseThrow().first().engine())
                             .id();
-            excluded.add(fault);
+            fault = Optional.of(refusing);
+            excluded.add(refusing);
+            parts.load().refused(refusing, now());
             recover(attempt, "engine refused");
             return;
         }
@@ -203,7 +207,7 @@
         if (ready.length() == 0) {
             return;
         }
-        firstPart();
+        part();
         progressNanos = now();
         writeHead(answer);
         response.write(ready);
@@ -244,58 +248,107 @@
     /** Leaves an engine that failed: in place if the others can go on, else at another chain. */
     void leave(Endpoint engine, EngineControl engines) {
         excluded.add(engine.id());
-        Roster roster = parts.knowledge().roster();
-        Optional<EngineChain> around =
-                new ChainSearch(spec, parts.load())
-                        .around(
-                                chain.orElseThrow(),
-                                engine.id(),
-                                roster.usable(admitted.service(), now()),
-                                size,
-                                excluded);
-        if (around.isEmpty()) {
+        fault = Optional.of(engine.id());
+        Optional<EngineChain> around = around(engine);
+        if (around.isEmpty() || (crosses(around.get()) && mayOfferAnew())) {
             recover("engine stalled");
-        } else {
-            reroute(generation, around.get(), engines);
+            return;
         }
+        int attempt = generation;
+        reroute(around.get(), engines)
+                .whenComplete((done, error) -> rerouted(attempt, error == null && done));
     }
 
-    private void reroute(int attempt, EngineChain other, EngineControl engines) {
-        parts.load().remove(chain.orElseThrow(), size.tokens());
-        parts.load().add(other, size.tokens());
-        chain = Optional.of(other);
-        Endpoint first = other.first().engine();
-        List<EngineControl.Hop> hops =
-                other.hops().stream()
-                        .map(h -> new EngineControl.Hop(h.engine().address(), h.range()))
-                        .toList();
-        asked(now());
-        engines.reroute(first.address(), first.id(), id(), hops)
-                .whenComplete((done, error) -> rerouted(attempt, error == null && done));
+    /**
+     * Tells whether a detour leads through another zone. What was read so far would then pass the
+     * pipe between the zones twice, for all streams of the engine that failed at once.
+     */
+    private boolean crosses(EngineChain around) {
+        return around.crossings() > chain.orElseThrow().crossings();
     }
 
     private void rerouted(int attempt, boolean done) {
         if (stale(attempt)) {
             return;
         }
-        parts.trace()
-                .record(
-                        new TraceEvent.Rerouted(
-                                id(), chain.map(Object::toString).orElse(""), done));
+        tellRerouted("engine failed", done);
         if (!done) {
             recover("not rerouted");
         }
     }
 
+    /**
+     * Moves away from an engine that is about to leave but still works, if others can take its part
+     * while the stream goes on. If they cannot, the stream stays where it is.
+     */
+    void avoidDeparting(Endpoint engine, EngineControl engines) {
+        if (!excluded.add(engine.id())) {
+            return;
+        }
+        Optional<EngineChain> around = around(engine);
+        if (around.isEmpty() || crosses(around.get())) {
+            return;
+        }
+        int attempt = generation;
+        EngineChain before = chain.orElseThrow();
+        reroute(around.get(), engines)
+                .whenComplete((done, error) -> movedAway(attempt, before, error != null || done));
+    }
+
+    private void movedAway(int attempt, EngineChain before, boolean taken) {
+        if (stale(attempt)) {
+            return;
+        }
+        tellRerouted("engine leaves", taken);
+        if (!taken) {
+            follow(before);
+        }
+    }
+
+    private Optional<EngineChain> around(Endpoint engine) {
+        List<Endpoint> usable = parts.knowledge().roster().usable(admitted.service(), now());
+        return new ChainSearch(spec, parts.load())
+                .around(chain.orElseThrow(), engine.id(), usable, size, excluded);
+    }
+
+    private void follow(EngineChain other) {
+        parts.load().remove(chain.orElseThrow(), size.tokens());
+        parts.load().add(other, size.tokens());
+        chain = Optional.of(other);
+    }
+
+    private void tellRerouted(String cause, boolean done) {
+        parts.trace()
+                .record(
+                        new TraceEvent.Rerouted(
+                                id(), chain.map(Object::toString).orElse(""), cause, done));
+        parts.meters()
+                .counter("hyssopturn.reroutes", "cause", cause, "done", String.valueOf(done))
+                .increment();
+    }
+
+    private CompletableFuture<Boolean> reroute(EngineChain other, EngineControl engines) {
+        follow(other);
+        Endpoint first = other.first().engine();
+        List<EngineControl.Hop> hops =
+                other.hops().stream()
+                        .map(h -> new EngineControl.Hop(h.engine().address(), h.range()))
+                        .toList();
+        asked(now());
+        return engines.reroute(first.address(), first.id(), id(), hops);
+    }
+
     /** Leaves the present chain and goes on at another one. */
     void recover(String cause) {
         if (ended() || chain.isEmpty()) {
             return;
         }
         Endpoint first = chain.get().first().engine();
+        Optional<InstanceId> failed = fault;
+        fault = Optional.empty();
         generation++;
         cancelUpstream();
-        if (again(first, cause)) {
+        if (again(first, cause, failed)) {
             offer();
         } else if (response.headWritten()) {
             breakOff(cause);
@@ -322,6 +375,19 @@
         return chain;
     }
 
+    /** Finds an engine behind the first one that is about to leave. */
+    Optional<Endpoint> departing(long nowNanos) {
+        if (chain.isEmpty() || !progress.delivered()) {
+            return Optional.empty();
+        }
+        return chain.get().hops().stream()
+                .skip(1)
+                .map(Hop::engine)
+                .filter(e -> !excluded.contains(e.id()))
+                .filter(e -> parts.knowledge().roster().departing(e, nowNanos))
+                .findFirst();
+    }
+
     boolean uses(InstanceId engine) {
         return chain.filter(c -> c.uses(engine)).isPresent();
     }
--- a/src/main/java/hyssopturn/trace/TraceEvent.java
+++ b/src/main/java/hyssopturn/trace/TraceEvent.java
@@ -118,6 +118,7 @@
      * @param attempt number of the attempt
      * @param endpoint first endpoint
      * @param cause what happened
+     * @param fault engine that failed or refused, empty if it is the first endpoint or not known
      * @param mayHaveRun false if the endpoint said, or the connection shows, that it did not run
      * @param next what was decided
      */
@@ -126,6 +127,7 @@
             int attempt,
             String endpoint,
             String cause,
+            String fault,
             boolean mayHaveRun,
             String next)
             implements TraceEvent {}
@@ -141,6 +143,7 @@
      * @param cause why, empty for a success
      * @param attempts number of attempts
      * @param firstMillis time to the first part of the answer, in milliseconds, -1 if none
+     * @param pauseMillis longest time between parts of the answer, in milliseconds, 0 if it has one
      * @param totalMillis time to the end, in milliseconds
      * @param config version of the configuration that decided
      * @param configAgeMillis time since that version was last confirmed, in milliseconds
@@ -154,6 +157,7 @@
             String cause,
             int attempts,
             long firstMillis,
+            long pauseMillis,
             long totalMillis,
             long config,
             long configAgeMillis)
@@ -173,9 +177,22 @@
      *
      * @param request id of the request
      * @param chain the new chain
+     * @param cause why
      * @param done false if the first engine did not take the move
      */
-    record Rerouted(String request, String chain, boolean done) implements TraceEvent {}
+    record Rerouted(String request, String chain, String cause, boolean done)
+            implements TraceEvent {}
+
+    /**
+     * A library or a helper class logged something.
+     *
+     * @param level its level
+     * @param logger who said so
+     * @param message what was said
+     * @param error the error that was logged with it, empty if none
+     */
+    record LibraryMessage(String level, String logger, String message, String error)
+            implements TraceEvent {}
 
     /**
      * Lines were left out because more were due than the log takes.
