Check the engines of a quiet stream for life; visit other zones only with room to spare

Change: engines of a stream that is quiet for 55 ms are connected to; one that refuses, or twice does not answer in 25 ms, is left by all streams and told to the other nodes, whose quiet streams leave it too. Another zone is used while it has room beside as many callers as this node's own.

--- a/src/main/java/hyssopturn/chain/ChainSearch.java
+++ b/src/main/java/hyssopturn/chain/ChainSearch.java
@@ -7,7 +7,6 @@
 import hyssopturn.model.LayerRange;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -27,11 +26,11 @@
  * <p>Shortest path over pairs of a layer and the engine that ran the one before it. An engine may
  * run a part of the layers that it holds, so a chain may change engines at any boundary of a held
  * range. Crossing between zones costs the transfer of the prompt's activations over the pipe that
- * all crossing requests share; only the way to the first engine carries mere text. Nodes see only
- * their own load, and those of a zone together can fill its engines evenly only if they keep to
- * them, so the engines of another zone are the reserve for when the own zone's do not hold every
- * layer or have no memory left. Chains over several zones come last: the pipes cannot carry the
- * prompts of a whole zone.
+ * all crossing requests share. Nodes see only their own load, and those of a zone together can fill
+ * its engines evenly only if they keep to them. If the own zone's engines do not hold every layer
+ * or have no memory left, those of another zone serve as far as they have room beside their own
+ * callers, for the pipes cannot carry the prompts of a whole zone; chains over several zones take
+ * the rest. Answers days on which a zone loses engines.
  */
 public final class ChainSearch {
     /** Time that each hop adds to each token for the message to it, in milliseconds. */
@@ -105,14 +104,18 @@
         Label start = new Label(0, null, 0, 0, null);
         Goal goal = new Goal(zone, spec.layers(), size, mayBegin);
         return search(zones.getOrDefault(zone, List.of()), start, goal)
-                .or(() -> cheapestZone(zones.values(), start, goal))
+                .or(() -> cheapestZone(zones, start, goal))
                 .or(() -> search(candidates, start, goal))
                 .map(end -> new EngineChain(hops(end)));
     }
 
-    private Optional<Label> cheapestZone(Collection<List<Endpoint>> zones, Label start, Goal goal) {
-        return zones.stream()
-                .flatMap(engines -> search(engines, start, goal).stream())
+    /** Another zone serves its own callers first, so it is used only as far as it has room. */
+    private Optional<Label> cheapestZone(
+            Map<String, List<Endpoint>> zones, Label start, Goal goal) {
+        return zones.entrySet().stream()
+                .filter(zone -> !zone.getKey().equals(goal.zone))
+                .map(zone -> zone.getValue().stream().filter(e -> hasSpareRoom(e, goal.size)))
+                .flatMap(engines -> search(engines.toList(), start, goal).stream())
                 .min(Comparator.comparingDouble(Label::cost));
     }
 
@@ -193,9 +196,16 @@
     }
 
     private boolean hasRoom(Endpoint engine, Size size) {
+        return load.tokens(engine.id()) + size.tokens() <= capacity(engine);
+    }
+
+    private boolean hasSpareRoom(Endpoint engine, Size size) {
+        return load.tokensAsVisitor(engine.id()) + size.tokens() <= capacity(engine);
+    }
+
+    private double capacity(Endpoint engine) {
         EngineKind kind = spec.kind(engine.kind()).orElseThrow();
-        int held = engine.layers().orElseThrow().size();
-        return load.tokens(engine.id()) + size.tokens() <= spec.tokensBeside(kind, held);
+        return spec.tokensBeside(kind, engine.layers().orElseThrow().size());
     }
 
     private NavigableSet<Integer> boundaries(List<Endpoint> engines, int goal) {
@@ -213,8 +223,7 @@
             NavigableSet<Integer> boundaries,
             Goal goal,
             PriorityQueue<Label> open) {
-        boolean first = label.last == null;
-        String from = first ? goal.zone : label.last.zone();
+        String from = label.last == null ? goal.zone : label.last.zone();
         for (Endpoint engine : engines) {
             LayerRange held = engine.layers().orElseThrow();
             if (held.from() > label.layer || held.to() <= label.layer || label.uses(engine.id())) {
@@ -224,7 +233,7 @@
             for (int end : boundaries.subSet(label.layer, false, most, true)) {
                 double cost = label.cost + hopCost(engine, end - label.layer, goal.size);
                 if (!from.equals(engine.zone())) {
-                    cost += first ? tokenDelay(goal.size) : crossingCost(goal.size);
+                    cost += crossingCost(goal.size);
                 }
                 open.add(new Label(end, engine, label.layer, cost, label));
             }
@@ -248,11 +257,7 @@
     private double crossingCost(Size size) {
         double prompt = size.promptTokens() * spec.activationBytes() * BITS_PER_BYTE;
         double transfer = prompt / (spec.pipeMbps() * BITS_PER_MEGABIT) * MILLIS;
-        return PIPE_QUEUE * transfer + tokenDelay(size);
-    }
-
-    private static double tokenDelay(Size size) {
-        return size.answerTokens() * HOP_MILLIS;
+        return PIPE_QUEUE * transfer + size.answerTokens() * HOP_MILLIS;
     }
 
     private static List<Hop> hops(Label end) {
--- a/src/main/java/hyssopturn/chain/EngineLoad.java
+++ b/src/main/java/hyssopturn/chain/EngineLoad.java
@@ -19,6 +19,7 @@
     private final int sharers;
     private final Map<InstanceId, Long> refusedNanos = new HashMap<>();
     private final Map<InstanceId, Held> held = new HashMap<>();
+    private long total;
 
     /**
      * Creates a load of zero.
@@ -38,6 +39,7 @@
      * @param tokens tokens that the request may hold
      */
     public void add(EngineChain chain, long tokens) {
+        total += tokens;
         change(chain, 1, tokens);
     }
 
@@ -48,6 +50,7 @@
      * @param tokens tokens that were added for the request
      */
     public void remove(EngineChain chain, long tokens) {
+        total -= tokens;
         change(chain, -1, -tokens);
     }
 
@@ -96,6 +99,17 @@
         return sharers * held.getOrDefault(engine, new Held(0, 0)).requests;
     }
 
+    /**
+     * Estimates the tokens that requests hold at an engine of another zone. The callers there are
+     * taken to be as many as those of this node's zone.
+     *
+     * @param engine the engine
+     * @return number of tokens of all nodes
+     */
+    public long tokensAsVisitor(InstanceId engine) {
+        return tokens(engine) + sharers * total;
+    }
+
     /**
      * Estimates the tokens that requests hold at an engine.
      *
--- a/src/main/java/hyssopturn/cli/RouterCommand.java
+++ b/src/main/java/hyssopturn/cli/RouterCommand.java
@@ -83,6 +83,8 @@
     static RelayNodeSettings own(Settings settings) {
         return new RelayNodeSettings(
                 settings.get(RouterOptions.CONNECT_TIMEOUT),
+                settings.get(RouterOptions.FIRST_EVENT_CHECK),
+                settings.get(RouterOptions.GAP_CHECK),
                 settings.get(RouterOptions.FIRST_EVENT_STALL),
                 settings.get(RouterOptions.GAP_STALL),
                 settings.get(RouterOptions.RETRY_AFTER),
--- a/src/main/java/hyssopturn/cli/RouterOptions.java
+++ b/src/main/java/hyssopturn/cli/RouterOptions.java
@@ -22,6 +22,18 @@
                     new Kind.Span(MILLI, MINUTE),
                     "300ms",
                     "Longest time to connect to an endpoint");
+    static final Setting<Duration> FIRST_EVENT_CHECK =
+            new Setting<>(
+                    "first-event-check",
+                    new Kind.Span(MILLI, MINUTE),
+                    "150ms",
+                    "Time without a first event after which all engines are checked for life");
+    static final Setting<Duration> GAP_CHECK =
+            new Setting<>(
+                    "gap-check",
+                    new Kind.Span(MILLI, MINUTE),
+                    "55ms",
+                    "Time without a further event after which all engines are checked for life");
     static final Setting<Duration> FIRST_EVENT_STALL =
             new Setting<>(
                     "first-event-stall",
@@ -32,7 +44,7 @@
             new Setting<>(
                     "gap-stall",
                     new Kind.Span(MILLI, MINUTE),
-                    "90ms",
+                    "120ms",
                     "Time without a further event after which an engine is asked why");
     static final Setting<Duration> RETRY_AFTER =
             new Setting<>(
@@ -70,6 +82,8 @@
             List.of(
                     CONFIG,
                     CONNECT_TIMEOUT,
+                    FIRST_EVENT_CHECK,
+                    GAP_CHECK,
                     FIRST_EVENT_STALL,
                     GAP_STALL,
                     RETRY_AFTER,
--- a/src/main/java/hyssopturn/fleet/Roster.java
+++ b/src/main/java/hyssopturn/fleet/Roster.java
@@ -197,6 +197,20 @@
         return nearOutage && !entry.left;
     }
 
+    /**
+     * Tells whether an endpoint did not answer somebody a moment ago.
+     *
+     * @param endpoint the endpoint
+     * @param nowNanos time now
+     * @return true if it is under suspicion
+     */
+    public boolean suspected(Endpoint endpoint, long nowNanos) {
+        Entry entry = entries.get(endpoint.id());
+        return entry != null
+                && entry.endpoint.incarnation() == endpoint.incarnation()
+                && suspected(entry, nowNanos);
+    }
+
     private static boolean suspected(Entry entry, long nowNanos) {
         return entry.suspectedNanos
                 .filter(
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -13,6 +13,7 @@
 import hyssopturn.relay.RelayParts;
 import hyssopturn.relay.RelaySettings;
 import hyssopturn.relay.RetryAllowance;
+import hyssopturn.trace.EventCounters;
 import hyssopturn.trace.LibraryLog;
 import hyssopturn.trace.TraceEvent;
 import hyssopturn.trace.TraceLog;
@@ -47,6 +48,9 @@
     /** Time without a byte after which a caller's connection ends; above any route's timeout. */
     private static final Duration CALLER_IDLE = Duration.ofSeconds(60);
 
+    /** Longest time to connect to a live engine; many round trips between zones. */
+    private static final Duration CHECK_LIMIT = Duration.ofMillis(25);
+
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final int ENDPOINT_CONNECTIONS = 1_000;
@@ -83,7 +87,13 @@
         this.vertx = vertx;
         this.platform = platform;
         clock = new LoopClock(vertx, vertx.getOrCreateContext());
-        trace = new TraceLog(platform.node(), clock, out, settings.logLines());
+        trace =
+                new TraceLog(
+                        platform.node(),
+                        clock,
+                        out,
+                        settings.logLines(),
+                        new EventCounters(meters));
         SplittableRandom random = new SplittableRandom();
         RetryAllowance retries = retries(settings);
         HttpClient endpointClient =
@@ -92,7 +102,8 @@
                 new PlatformAdapter(
                         platform,
                         Connections.oneCallEach(vertx, STORE_CONNECTIONS, STORE_CONNECT),
-                        endpointClient);
+                        endpointClient,
+                        meters);
         FaultBoard faultBoard =
                 new FaultBoard(adapter.log(), knowledge.roster(), clock, trace, platform.node());
         relay =
@@ -105,6 +116,7 @@
                                 random,
                                 retries,
                                 new EngineLoad(settings.sharers()),
+                                new ConnectProbe(vertx, CHECK_LIMIT),
                                 faultBoard,
                                 trace,
                                 meters,
@@ -157,6 +169,8 @@
         return new RelaySettings(
                 platform.zone(),
                 settings.connectTimeout(),
+                settings.firstEventCheck(),
+                settings.gapCheck(),
                 settings.firstEventStall(),
                 settings.gapStall(),
                 settings.retryAfter());
--- a/src/main/java/hyssopturn/platform/HttpCalls.java
+++ b/src/main/java/hyssopturn/platform/HttpCalls.java
@@ -4,6 +4,7 @@
 import hyssopturn.port.InDoubtException;
 import hyssopturn.port.RefusedException;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
@@ -17,9 +18,20 @@
 /** Small calls whose whole answer is wanted within a time. */
 final class HttpCalls {
     private final HttpClient client;
+    private final MeterRegistry meters;
+    private final String callee;
 
-    HttpCalls(HttpClient client) {
+    /**
+     * Creates calls.
+     *
+     * @param client connections
+     * @param meters counters of calls and their outcomes
+     * @param callee name of those who are called, in the counters
+     */
+    HttpCalls(HttpClient client, MeterRegistry meters, String callee) {
         this.client = client;
+        this.meters = meters;
+        this.callee = callee;
     }
 
     /** What was answered. */
@@ -56,9 +68,29 @@
                                                 RefusedException.Reason.UNREACHABLE,
                                                 to + ": " + e.getMessage())))
                 .onSuccess(request -> send(request, body, result));
+        result.whenComplete((answer, error) -> count(uri, answer, error));
         return result;
     }
 
+    private void count(String uri, Answer answer, Throwable error) {
+        int query = uri.indexOf('?');
+        String outcome =
+                switch (error) {
+                    case null -> String.valueOf(answer.status());
+                    case RefusedException unsent -> "not sent";
+                    default -> "no answer";
+                };
+        meters.counter(
+                        "hyssopturn.calls",
+                        "callee",
+                        callee,
+                        "call",
+                        query < 0 ? uri : uri.substring(0, query),
+                        "outcome",
+                        outcome)
+                .increment();
+    }
+
     private static void send(
             HttpClientRequest request, Buffer body, CompletableFuture<Answer> result) {
         request.send(body)
--- a/src/main/java/hyssopturn/platform/PlatformAdapter.java
+++ b/src/main/java/hyssopturn/platform/PlatformAdapter.java
@@ -7,6 +7,7 @@
 import hyssopturn.port.KeyedLog;
 import hyssopturn.relay.Dialect;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.vertx.core.http.HttpClient;
 
 import java.util.Optional;
@@ -23,12 +24,16 @@
      * @param settings the platform's settings
      * @param storeClient connections to the store
      * @param engineClient connections to engines
+     * @param meters counters of calls
      */
     public PlatformAdapter(
-            PlatformSettings settings, HttpClient storeClient, HttpClient engineClient) {
-        store = new Store(new HttpCalls(storeClient), settings.store());
+            PlatformSettings settings,
+            HttpClient storeClient,
+            HttpClient engineClient,
+            MeterRegistry meters) {
+        store = new Store(new HttpCalls(storeClient, meters, "store"), settings.store());
         duties = new GroupDuties(store, settings.node(), settings.partitions());
-        engines = new HttpEngineControl(new HttpCalls(engineClient));
+        engines = new HttpEngineControl(new HttpCalls(engineClient, meters, "engine"));
     }
 
     /**
--- /dev/null
+++ b/src/main/java/hyssopturn/port/Liveness.java
@@ -0,0 +1,17 @@
+package hyssopturn.port;
+
+import hyssopturn.model.Address;
+
+import java.util.concurrent.CompletableFuture;
+
+/** Finds out whether a process listens at an address. */
+public interface Liveness {
+    /**
+     * Tries to connect, and closes the connection at once.
+     *
+     * @param address the address
+     * @return true if a connection was accepted, false if it was refused or nobody answered in
+     *     time; does not fail
+     */
+    CompletableFuture<Boolean> listens(Address address);
+}
--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -230,7 +230,7 @@
                                 fault.map(InstanceId::value).orElse(""),
                                 mayHaveRun,
                                 refusal.isEmpty() ? "retry" : refusal));
-        parts.meters().counter("hyssopturn.attempts.failed", "cause", cause).increment();
+
         return refusal.isEmpty();
     }
 
--- a/src/main/java/hyssopturn/relay/Relay.java
+++ b/src/main/java/hyssopturn/relay/Relay.java
@@ -199,7 +199,7 @@
                                 (now - arrived) / MILLI_NANOS,
                                 parts.knowledge().catalog().map(Catalog::version).orElse(-1L),
                                 parts.knowledge().age(now).toMillis()));
-        parts.meters().counter("hyssopturn.refused", "cause", cause).increment();
+
         request.response().setStatusCode(status).end();
     }
 }
--- a/src/main/java/hyssopturn/relay/RelayParts.java
+++ b/src/main/java/hyssopturn/relay/RelayParts.java
@@ -3,6 +3,7 @@
 import hyssopturn.chain.EngineLoad;
 import hyssopturn.fleet.Endpoint;
 import hyssopturn.port.Clock;
+import hyssopturn.port.Liveness;
 import hyssopturn.trace.TraceLog;
 
 import io.micrometer.core.instrument.MeterRegistry;
@@ -21,6 +22,7 @@
  * @param random random numbers
  * @param retries how often requests may be sent again
  * @param load what this node has at engines
+ * @param liveness finds out whether an engine listens
  * @param faults gets engines that another engine found unreachable
  * @param trace structured log
  * @param meters counters and histograms
@@ -34,6 +36,7 @@
         RandomGenerator random,
         RetryAllowance retries,
         EngineLoad load,
+        Liveness liveness,
         Consumer<Endpoint> faults,
         TraceLog trace,
         MeterRegistry meters,
--- a/src/main/java/hyssopturn/relay/StallWatch.java
+++ b/src/main/java/hyssopturn/relay/StallWatch.java
@@ -1,5 +1,6 @@
 package hyssopturn.relay;
 
+import hyssopturn.chain.Hop;
 import hyssopturn.fleet.Endpoint;
 import hyssopturn.model.Address;
 import hyssopturn.port.EngineControl;
@@ -22,11 +23,12 @@
  * answer itself, every stream that passes the engine at fault goes on at another chain.
  */
 final class StallWatch {
-    private static final Duration TICK = Duration.ofMillis(20);
+    private static final Duration TICK = Duration.ofMillis(10);
 
     private final RelayParts parts;
     private final EngineControl engines;
     private final Set<StreamCall> streams = new LinkedHashSet<>();
+    private final CheckPacing checks = new CheckPacing();
 
     StallWatch(RelayParts parts, EngineControl engines) {
         this.parts = parts;
@@ -47,6 +49,7 @@
 
     private void tick() {
         long now = parts.clock().nanos();
+        List.copyOf(streams).forEach(stream -> check(stream, now));
         Map<Endpoint, List<StreamCall>> quiet = new HashMap<>();
         for (StreamCall stream : streams) {
             if (stream.quiet(now)) {
@@ -74,6 +77,41 @@
         }
     }
 
+    /**
+     * Looks after a stream that has been quiet for a moment: if one of its engines is under
+     * suspicion it goes on elsewhere, and else all of them are checked for life.
+     */
+    private void check(StreamCall stream, long now) {
+        if (!stream.late(now)) {
+            return;
+        }
+        Optional<Endpoint> suspect = stream.suspect(now);
+        if (suspect.isPresent()) {
+            stream.leave(suspect.get(), engines);
+            return;
+        }
+        for (Hop hop : stream.chain().orElseThrow().hops()) {
+            if (checks.due(hop.engine().id(), now)) {
+                parts.liveness()
+                        .listens(hop.engine().address())
+                        .thenAccept(listens -> checked(hop.engine(), listens));
+            }
+        }
+    }
+
+    private void checked(Endpoint engine, boolean listens) {
+        parts.meters()
+                .counter("hyssopturn.engine.checks", "listens", String.valueOf(listens))
+                .increment();
+        if (listens) {
+            return;
+        }
+        List<StreamCall> waiting = streams.stream().filter(s -> s.uses(engine.id())).toList();
+        if (blame(engine, waiting, "does not accept connections")) {
+            parts.faults().accept(engine);
+        }
+    }
+
     private void ask(Endpoint first, List<StreamCall> quiet) {
         engines.stalled(first.address())
                 .whenComplete(
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -250,7 +250,7 @@
         excluded.add(engine.id());
         fault = Optional.of(engine.id());
         Optional<EngineChain> around = around(engine);
-        if (around.isEmpty() || (crosses(around.get()) && mayOfferAnew())) {
+        if (around.isEmpty() || (crosses(around.get()) && mayGoOnInOneZone())) {
             recover("engine stalled");
             return;
         }
@@ -267,6 +267,11 @@
         return around.crossings() > chain.orElseThrow().crossings();
     }
 
+    private boolean mayGoOnInOneZone() {
+        return mayOfferAnew()
+                && chainFrom(this::mayOffer, true).filter(c -> c.crossings() == 0).isPresent();
+    }
+
     private void rerouted(int attempt, boolean done) {
         if (stale(attempt)) {
             return;
@@ -322,9 +327,6 @@
                 .record(
                         new TraceEvent.Rerouted(
                                 id(), chain.map(Object::toString).orElse(""), cause, done));
-        parts.meters()
-                .counter("hyssopturn.reroutes", "cause", cause, "done", String.valueOf(done))
-                .increment();
     }
 
     private CompletableFuture<Boolean> reroute(EngineChain other, EngineControl engines) {
@@ -367,6 +369,23 @@
         return chain.isPresent() && nowNanos - since > limit.toNanos();
     }
 
+    /** Tells whether an event is overdue so far that the engines should be looked after. */
+    boolean late(long nowNanos) {
+        Duration limit =
+                progress.delivered()
+                        ? parts.settings().gapCheck()
+                        : parts.settings().firstEventCheck();
+        return chain.isPresent() && nowNanos - progressNanos > limit.toNanos();
+    }
+
+    /** Finds an engine of the chain that is under suspicion. */
+    Optional<Endpoint> suspect(long nowNanos) {
+        return chain.orElseThrow().hops().stream()
+                .map(Hop::engine)
+                .filter(e -> parts.knowledge().roster().suspected(e, nowNanos))
+                .findFirst();
+    }
+
     void asked(long nowNanos) {
         askedNanos = nowNanos;
     }
--- /dev/null
+++ b/src/main/java/hyssopturn/trace/EventCounters.java
@@ -0,0 +1,58 @@
+package hyssopturn.trace;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Tags;
+
+import java.util.function.Consumer;
+
+/**
+ * Counts events by what was decided, also those whose lines the log leaves out.
+ *
+ * <p>Labels have few values each: causes and outcomes, never ids.
+ */
+public final class EventCounters implements Consumer<TraceEvent> {
+    private static final String NAME = "hyssopturn.events";
+
+    private final MeterRegistry meters;
+
+    /**
+     * Creates counters.
+     *
+     * @param meters where they are kept
+     */
+    public EventCounters(MeterRegistry meters) {
+        this.meters = meters;
+    }
+
+    @Override
+    public void accept(TraceEvent event) {
+        String name = event.getClass().getSimpleName();
+        meters.counter(NAME, labels(event).and("event", name)).increment();
+    }
+
+    private static Tags labels(TraceEvent event) {
+        return switch (event) {
+            case TraceEvent.Ended e -> labels(e.cause(), e.outcome());
+            case TraceEvent.AttemptFailed e -> labels(e.cause(), e.next());
+            case TraceEvent.Rerouted e -> labels(e.cause(), e.done() ? "done" : "refused");
+            case TraceEvent.EndpointChanged e -> labels("", e.state());
+            case TraceEvent.Dependency e -> labels(e.name(), e.state());
+            case TraceEvent.Ordered e ->
+                    labels("", e.result().startsWith("no answer") ? "no answer" : e.result());
+            case TraceEvent.Duty e -> labels("", e.held() ? "held" : "lost");
+            case TraceEvent.Stopping e -> labels("", e.phase());
+            case TraceEvent.LibraryMessage e -> labels("", e.level());
+            case TraceEvent.Started e -> labels("", "");
+            case TraceEvent.Reloaded e -> labels("", e.changed() ? "changed" : "same");
+            case TraceEvent.ConfigInForce e -> labels("", "");
+            case TraceEvent.Malformed e -> labels(e.stream(), "");
+            case TraceEvent.Offered e -> labels("", e.attempt() > 1 ? "again" : "first");
+            case TraceEvent.Stalled e -> labels("", "");
+            case TraceEvent.Dropped e -> labels("", "");
+        };
+    }
+
+    private static Tags labels(String cause, String outcome) {
+        return Tags.of("cause", cause, "outcome", outcome);
+    }
+}
--- a/src/main/java/hyssopturn/trace/TraceLog.java
+++ b/src/main/java/hyssopturn/trace/TraceLog.java
@@ -13,6 +13,7 @@
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 
 /**
  * Writes events as JSON lines, in a thread of its own.
@@ -32,6 +33,7 @@
     private final Clock clock;
     private final OutputStream out;
     private final int linesPerSecond;
+    private final Consumer<TraceEvent> observer;
     private final ObjectMapper mapper = new ObjectMapper();
     private final Queue<byte[]> queue = new ArrayDeque<>();
     private final Thread writer;
@@ -41,7 +43,7 @@
     private volatile boolean closed;
 
     /**
-     * Creates the log and starts its writer.
+     * Creates a log that nothing else observes, and starts its writer.
      *
      * @param node name of this process in each line
      * @param clock time
@@ -49,6 +51,25 @@
      * @param linesPerSecond greatest number of lines in a second
      */
     public TraceLog(String node, Clock clock, OutputStream out, int linesPerSecond) {
+        this(node, clock, out, linesPerSecond, event -> {});
+    }
+
+    /**
+     * Creates the log and starts its writer.
+     *
+     * @param node name of this process in each line
+     * @param clock time
+     * @param out where lines go
+     * @param linesPerSecond greatest number of lines in a second
+     * @param observer gets every event, also those that are left out
+     */
+    public TraceLog(
+            String node,
+            Clock clock,
+            OutputStream out,
+            int linesPerSecond,
+            Consumer<TraceEvent> observer) {
+        this.observer = observer;
         this.node = node;
         this.clock = clock;
         this.out = out;
@@ -62,6 +83,7 @@
      * @param event the event
      */
     public void record(TraceEvent event) {
+        observer.accept(event);
         synchronized (queue) {
             long now = clock.nanos() / SECOND_NANOS;
             if (now != second) {
--- a/src/test/java/hyssopturn/chain/ChainSearchTest.java
+++ b/src/test/java/hyssopturn/chain/ChainSearchTest.java
@@ -54,6 +54,32 @@
             assertThat(search(engines).orElseThrow().toString(), equalTo("a1=0-40,a2=40-80"));
         }
 
+        @Test
+        void thatLacksALayerGivesWayToAnotherWholeZoneRatherThanCrossingThePipes() {
+            List<Endpoint> zones = new ArrayList<>(engines);
+            zones.add(holding("c1", "c", ROOMY, 40, 80));
+            assertThat(search(zones, "a2").orElseThrow().toString(), equalTo("b1=0-40,b2=40-80"));
+        }
+
+        @Test
+        void keepsWhatItHoldsWhenOtherZonesAreFullOfTheirOwnCallers() {
+            List<Endpoint> zones =
+                    List.of(
+                            holding("a1", "a", ROOMY, 0, 64),
+                            holding("b1", "b", ROOMY_SLOW, 0, 64),
+                            holding("b2", "b", LARGE, 64, 80));
+            EngineLoad load = new EngineLoad(1);
+            EngineChain own = search(List.of(holding("a0", "a", ROOMY, 0, 80)), load).orElseThrow();
+            for (int i = 0; i < 64; i++) {
+                load.add(own, SIZE.tokens());
+            }
+            assertThat(search(zones, load).orElseThrow().toString(), equalTo("a1=0-64,b2=64-80"));
+            for (int i = 0; i < 64; i++) {
+                load.remove(own, SIZE.tokens());
+            }
+            assertThat(search(zones, load).orElseThrow().toString(), equalTo("b1=0-64,b2=64-80"));
+        }
+
         @Test
         void isLeftWhenALayerIsMissing() {
             assertThat(search(engines, "a2").orElseThrow().uses(new InstanceId("b2")), is(true));
--- a/src/test/java/hyssopturn/fleet/RosterTest.java
+++ b/src/test/java/hyssopturn/fleet/RosterTest.java
@@ -44,6 +44,38 @@
         return roster.usable(SERVICE, at(millis));
     }
 
+    @Nested
+    class Departing {
+        private final Endpoint running = endpoint(false, 1, 1);
+
+        @Test
+        void beginsWithTheAnnouncementOrTheEndOfTheEntry() {
+            roster.announce(running, at(0));
+            assertThat(roster.departing(running, at(50)), is(false));
+            roster.announce(endpoint(true, 1, 2), at(100));
+            assertThat(roster.departing(running, at(100)), is(true));
+        }
+
+        @Test
+        void isTrueOfAnEntryThatIsGoneAndOfAnEarlierIncarnation() {
+            roster.announce(running, at(0));
+            roster.remove(ID, at(100));
+            assertThat(roster.departing(running, at(100)), is(true));
+            roster.announce(endpoint(false, 2, 1), at(200));
+            assertThat(roster.departing(running, at(200)), is(true));
+            assertThat(roster.departing(endpoint(false, 2, 1), at(200)), is(false));
+        }
+    }
+
+    @Test
+    void suspicionHoldsForTheIncarnationThatDidNotAnswer() {
+        roster.announce(endpoint(false, 1, 1), at(0));
+        roster.suspect(ID, 1, at(100));
+        assertThat(roster.suspected(endpoint(false, 1, 1), at(200)), is(true));
+        roster.announce(endpoint(false, 2, 1), at(300));
+        assertThat(roster.suspected(endpoint(false, 2, 1), at(300)), is(false));
+    }
+
     @Nested
     class Leaving {
         @Test
--- a/src/test/java/hyssopturn/platform/RelayBench.java
+++ b/src/test/java/hyssopturn/platform/RelayBench.java
@@ -34,9 +34,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -78,6 +81,9 @@
     private final AtomicInteger count = new AtomicInteger();
     private final TraceLog trace;
     private final int port;
+    private final Set<Address> dead = Collections.synchronizedSet(new HashSet<>());
+    private final Map<String, Endpoint> announced = new HashMap<>();
+    private volatile Runnable firstEvent = () -> {};
     private volatile long shiftNanos;
 
     /** What a caller got. */
@@ -104,12 +110,23 @@
                         new SplittableRandom(1),
                         new RetryAllowance(0.2, Duration.ofSeconds(10).toNanos(), 100, 1),
                         new EngineLoad(1),
+                        address -> CompletableFuture.completedFuture(!dead.contains(address)),
                         endpoint -> {},
                         trace,
                         new SimpleMeterRegistry(),
                         new RelaySettings(
-                                "a", Duration.ofSeconds(5), STALL, STALL, Duration.ofSeconds(1)));
-        Relay relay = new Relay(parts, new HttpEngineControl(new HttpCalls(client)));
+                                "a",
+                                Duration.ofSeconds(5),
+                                STALL,
+                                STALL,
+                                STALL,
+                                STALL,
+                                Duration.ofSeconds(1)));
+        Relay relay =
+                new Relay(
+                        parts,
+                        new HttpEngineControl(
+                                new HttpCalls(client, new SimpleMeterRegistry(), "engine")));
         relay.start();
         HttpServer server = vertx.createHttpServer().requestHandler(relay::handle);
         port = server.listen(0, HOST).await().actualPort();
@@ -187,6 +204,7 @@
                         layers,
                         1,
                         1);
+        announced.put(id, endpoint);
         onLoop(() -> knowledge.roster().announce(endpoint, 0));
         return endpoint.address();
     }
@@ -201,6 +219,39 @@
         done.join();
     }
 
+    /** Lets nobody connect to a worker just to see whether it lives. */
+    void dead(Address worker) {
+        dead.add(worker);
+    }
+
+    /** Runs a task when the caller has the first bytes of an answer. */
+    void afterFirstEvent(Runnable task) {
+        firstEvent = task;
+    }
+
+    /** Runs a task some ticks later. */
+    void later(Runnable task) {
+        vertx.setTimer(100, timer -> task.run());
+    }
+
+    /** Announces that a worker leaves; on the event loop. */
+    void leave(String id) {
+        Endpoint e = announced.get(id);
+        Endpoint leaving =
+                new Endpoint(
+                        e.id(),
+                        e.service(),
+                        e.address(),
+                        e.zone(),
+                        e.slots(),
+                        true,
+                        e.kind(),
+                        e.layers(),
+                        e.incarnation(),
+                        e.heartbeat() + 1);
+        knowledge.roster().announce(leaving, 0);
+    }
+
     /** Ids of the requests that reached workers. */
     List<String> ids() {
         return List.copyOf(ids);
@@ -214,7 +265,7 @@
     }
 
     Answer call(String path, Map<String, String> headers) {
-        return send(path, headers).compose(RelayBench::read).await();
+        return send(path, headers).compose(this::read).await();
     }
 
     private Future<HttpClientResponse> send(String path, Map<String, String> headers) {
@@ -232,9 +283,15 @@
                         });
     }
 
-    private static Future<Answer> read(HttpClientResponse response) {
+    private Future<Answer> read(HttpClientResponse response) {
         Buffer body = Buffer.buffer();
-        response.handler(body::appendBuffer);
+        response.handler(
+                bytes -> {
+                    if (body.length() == 0) {
+                        firstEvent.run();
+                    }
+                    body.appendBuffer(bytes);
+                });
         return response.end()
                 .map(true)
                 .otherwise(false)
--- a/src/test/java/hyssopturn/platform/StoreTest.java
+++ b/src/test/java/hyssopturn/platform/StoreTest.java
@@ -16,6 +16,7 @@
 import hyssopturn.port.RefusedException;
 import hyssopturn.port.TrimmedException;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
@@ -57,7 +58,10 @@
                         .listen(0, HOST)
                         .await()
                         .actualPort();
-        store = new Store(new HttpCalls(vertx.createHttpClient()), new Address(HOST, port));
+        store =
+                new Store(
+                        new HttpCalls(vertx.createHttpClient(), new SimpleMeterRegistry(), "store"),
+                        new Address(HOST, port));
     }
 
     @AfterEach
--- a/src/test/java/hyssopturn/relay/RetryAllowanceTest.java
+++ b/src/test/java/hyssopturn/relay/RetryAllowanceTest.java
@@ -29,6 +29,15 @@
         assertThat(allowance.retry("b", Need.NEW, 0), is(true));
     }
 
+    @Test
+    void askingWhetherARetryIsAllowedCountsNothing() {
+        RetryAllowance allowance = new RetryAllowance(RATIO, WINDOW, 3, 1);
+        assertThat(allowance.allows("a", Need.NEW, 0), is(true));
+        assertThat(allowance.allows("a", Need.NEW, 0), is(true));
+        assertThat(allowance.retry("a", Need.NEW, 0), is(true));
+        assertThat(allowance.allows("a", Need.NEW, 0), is(false));
+    }
+
     @Test
     void aPartIsKeptForAnswersThatHaveBegun() {
         RetryAllowance allowance = new RetryAllowance(RATIO, WINDOW, 3, 1);
