A node whose own event loop ran late blames no endpoint

Ruled out: missing entries (39 endpoints were listed before) and engines (others served with them). Change: LoopLag notes late ticks of the watch; while the loop is late, and 0.4 s after, timeouts prove nothing and streams are not judged. A refused connection still counts at once. Test: LoopLagTest.

--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -9,6 +9,7 @@
 import hyssopturn.platform.PlatformAdapter;
 import hyssopturn.platform.PlatformSettings;
 import hyssopturn.relay.Knowledge;
+import hyssopturn.relay.LoopLag;
 import hyssopturn.relay.Relay;
 import hyssopturn.relay.RelayParts;
 import hyssopturn.relay.RelaySettings;
@@ -117,6 +118,7 @@
                                 retries,
                                 new EngineLoad(settings.sharers()),
                                 new ConnectProbe(vertx, CHECK_LIMIT),
+                                new LoopLag(),
                                 faultBoard,
                                 trace,
                                 meters,
--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -8,6 +8,7 @@
 import hyssopturn.port.Clock;
 import hyssopturn.trace.TraceEvent;
 
+import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
@@ -21,6 +22,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeoutException;
 
 /**
  * One request of a caller, from its admission to its only answer.
@@ -173,13 +175,22 @@
         return offered.contains(endpoint.id()) || offered.size() < admitted.route().maxAttempts();
     }
 
-    /** Notes that nothing was sent to an endpoint, because it could not be reached. */
-    final void unsent(Endpoint endpoint) {
+    /**
+     * Notes that nothing was sent to an endpoint, because it could not be reached. It may be tried
+     * again if only this node was too slow to see that it was.
+     */
+    final void unsent(Endpoint endpoint, Throwable error) {
         upstreamDone();
         attempts--;
         offered.remove(endpoint.id());
-        excluded.add(endpoint.id());
-        parts.knowledge().roster().suspect(endpoint.id(), endpoint.incarnation(), now());
+        if (!timedOut(error) || parts.lag().steady(now())) {
+            excluded.add(endpoint.id());
+            parts.knowledge().roster().suspect(endpoint.id(), endpoint.incarnation(), now());
+        }
+    }
+
+    private static boolean timedOut(Throwable error) {
+        return error instanceof TimeoutException || error instanceof ConnectTimeoutException;
     }
 
     /** Notes that the bytes of the request leave, so that it may run from here on. */
--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -46,7 +46,7 @@
                         admitted.account(),
                         left(),
                         OptionalLong.empty());
-        open(offer).onComplete(r -> send(endpoint, earlier, r), e -> unreachable(endpoint));
+        open(offer).onComplete(r -> send(endpoint, earlier, r), e -> unreachable(endpoint, e));
     }
 
     /** The least loaded of this node's requests; those of the own zone first among equals. */
@@ -62,11 +62,11 @@
                                 .thenComparing(Endpoint::id));
     }
 
-    private void unreachable(Endpoint endpoint) {
+    private void unreachable(Endpoint endpoint, Throwable error) {
         if (ended()) {
             return;
         }
-        unsent(endpoint);
+        unsent(endpoint, error);
         if (left().toMillis() > 0) {
             offer();
         } else {
--- a/src/main/java/hyssopturn/relay/RelayParts.java
+++ b/src/main/java/hyssopturn/relay/RelayParts.java
@@ -23,6 +23,7 @@
  * @param retries how often requests may be sent again
  * @param load what this node has at engines
  * @param liveness finds out whether an engine listens
+ * @param lag tells whether this node ran on time, so that a timeout proves something
  * @param faults gets engines that another engine found unreachable
  * @param trace structured log
  * @param meters counters and histograms
@@ -37,6 +38,7 @@
         RetryAllowance retries,
         EngineLoad load,
         Liveness liveness,
+        LoopLag lag,
         Consumer<Endpoint> faults,
         TraceLog trace,
         MeterRegistry meters,
--- a/src/main/java/hyssopturn/relay/StallWatch.java
+++ b/src/main/java/hyssopturn/relay/StallWatch.java
@@ -48,7 +48,15 @@
     }
 
     private void tick() {
+        parts.clock().after(TICK, this::tick);
         long now = parts.clock().nanos();
+        parts.lag().tick(now, TICK);
+        if (parts.lag().steady(now)) {
+            look(now);
+        }
+    }
+
+    private void look(long now) {
         List.copyOf(streams).forEach(stream -> check(stream, now));
         Map<Endpoint, List<StreamCall>> quiet = new HashMap<>();
         for (StreamCall stream : streams) {
@@ -60,7 +68,6 @@
         }
         quiet.forEach(this::ask);
         moveFromDeparting(now);
-        parts.clock().after(TICK, this::tick);
     }
 
     /**
@@ -103,7 +110,7 @@
         parts.meters()
                 .counter("hyssopturn.engine.checks", "listens", String.valueOf(listens))
                 .increment();
-        if (listens) {
+        if (listens || !steady()) {
             return;
         }
         List<StreamCall> waiting = streams.stream().filter(s -> s.uses(engine.id())).toList();
@@ -116,14 +123,18 @@
         engines.stalled(first.address())
                 .whenComplete(
                         (waits, error) -> {
-                            if (error != null) {
+                            if (error != null && steady()) {
                                 blame(first, quiet, "no report");
-                            } else {
+                            } else if (error == null) {
                                 answered(first, quiet, waits);
                             }
                         });
     }
 
+    private boolean steady() {
+        return parts.lag().steady(parts.clock().nanos());
+    }
+
     private void answered(Endpoint first, List<StreamCall> quiet, Map<String, Address> waits) {
         Set<Address> faults = new LinkedHashSet<>();
         for (StreamCall stream : quiet) {
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -81,7 +81,7 @@
         Offer offer = new Offer(first, found, admitted.account(), left(), progress.last());
         open(offer)
                 .onComplete(
-                        r -> send(attempt, earlier, first, r), e -> unreachable(attempt, first));
+                        r -> send(attempt, earlier, first, r), e -> unreachable(attempt, first, e));
     }
 
     private Optional<EngineChain> chainFrom(Predicate<Endpoint> first, boolean withRoom) {
@@ -98,11 +98,11 @@
         return ended() || attempt != generation;
     }
 
-    private void unreachable(int attempt, Endpoint first) {
+    private void unreachable(int attempt, Endpoint first, Throwable error) {
         if (stale(attempt)) {
             return;
         }
-        unsent(first);
+        unsent(first, error);
         offer();
     }
 
--- a/src/test/java/hyssopturn/platform/RelayBench.java
+++ b/src/test/java/hyssopturn/platform/RelayBench.java
@@ -9,6 +9,7 @@
 import hyssopturn.model.LayerRange;
 import hyssopturn.port.Clock;
 import hyssopturn.relay.Knowledge;
+import hyssopturn.relay.LoopLag;
 import hyssopturn.relay.Relay;
 import hyssopturn.relay.RelayParts;
 import hyssopturn.relay.RelaySettings;
@@ -111,6 +112,7 @@
                         new RetryAllowance(0.2, Duration.ofSeconds(10).toNanos(), 100, 1),
                         new EngineLoad(1),
                         address -> CompletableFuture.completedFuture(!dead.contains(address)),
+                        new LoopLag(),
                         endpoint -> {},
                         trace,
                         new SimpleMeterRegistry(),
--- /dev/null
+++ b/src/test/java/hyssopturn/relay/LoopLagTest.java
@@ -0,0 +1,45 @@
+package hyssopturn.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.api.Test;
+
+import java.time.Duration;
+
+class LoopLagTest {
+    private static final Duration TICK = Duration.ofMillis(10);
+
+    private final LoopLag lag = new LoopLag();
+
+    private static long at(long millis) {
+        return Duration.ofMillis(millis).toNanos();
+    }
+
+    @Test
+    void aLoopThatTicksOnTimeIsSteady() {
+        for (int millis = 0; millis < 1_000; millis += 10) {
+            lag.tick(at(millis), TICK);
+            assertThat(lag.steady(at(millis + 5)), is(true));
+        }
+    }
+
+    @Test
+    void aTickThatIsOverdueShowsBeforeItRuns() {
+        lag.tick(at(0), TICK);
+        assertThat(lag.steady(at(40)), is(true));
+        assertThat(lag.steady(at(41)), is(false));
+    }
+
+    @Test
+    void aLoopThatWasHeldUpIsNotSteadyForAWhile() {
+        lag.tick(at(0), TICK);
+        lag.tick(at(300), TICK);
+        for (int millis = 310; millis < 700; millis += 10) {
+            lag.tick(at(millis), TICK);
+            assertThat(lag.steady(at(millis)), is(false));
+        }
+        lag.tick(at(700), TICK);
+        assertThat(lag.steady(at(700)), is(true));
+    }
+}
