Nodes that do not hear of each other fill engines evenly; chain search in order of layers

Cause: a node took its own load at an engine times the constant 3 for the load of all, while 18 nodes share a zone. Every node saw room everywhere, so the same fastest chain was the cheapest one for all of them. And the search for a chain went over pairs of a layer and an engine, through every zone and then through all engines, when the own zone lacked a layer.

Ruled out: a greater constant.

Change: the number of nodes comes from the log's group, which deals out 512 partitions now, more than nodes. The part of an engine's memory that is in use decides before its speed does, and its estimate is blurred by one request of this node, so nodes that know equally little choose differently. Zones that are visited are drawn by their spare room. The retry budget is dealt out with the same partitions; with 16, most of 73 nodes held none of its fixed part. Each offer logs where the chain stands and the load that was assumed; a change of a node's share is an event; the search is timed.

--- a/src/main/java/hyssopturn/chain/ChainSearch.java
+++ b/src/main/java/hyssopturn/chain/ChainSearch.java
@@ -7,31 +7,31 @@
 import hyssopturn.model.LayerRange;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.NavigableSet;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
+import java.util.stream.IntStream;
 
 /**
- * Finds the chain that is predicted to answer soonest under the load that the node knows of.
+ * Finds the chain that is predicted to answer soonest without filling some engines while others
+ * have room.
  *
- * <p>Shortest path over pairs of a layer and the engine that ran the one before it. An engine may
- * run a part of the layers that it holds, so a chain may change engines at any boundary of a held
- * range. Crossing between zones costs the transfer of the prompt's activations over the pipe that
- * all crossing requests share. Nodes see only their own load, and those of a zone together can fill
- * its engines evenly only if they keep to them. If the own zone's engines do not hold every layer
- * or have no memory left, those of another zone serve as far as they have room beside their own
- * callers, for the pipes cannot carry the prompts of a whole zone; chains over several zones take
- * the rest. Answers days on which a zone loses engines.
+ * <p>Engines' memory binds long before their speed does, so the part of it that is in use counts
+ * most; among engines that are used alike the fast ones come first. An engine may run a part of the
+ * layers that it holds, so a chain may change engines at any boundary of a held range. Crossing
+ * between zones costs the transfer of the prompt's activations over the pipe that all crossing
+ * requests share, which cannot carry the prompts of a whole zone. So the own zone comes first. If
+ * it lacks a layer or is full, another zone is visited, drawn by the room that it has beside as
+ * many callers as the own one's; chains over several zones take what is left. Answers days on which
+ * a zone loses engines, and any number of nodes that choose without hearing of each other.
  */
 public final class ChainSearch {
     /** Time that each hop adds to each token for the message to it, in milliseconds. */
@@ -40,6 +40,9 @@
     /** How many transfers of prompts a request is taken to wait for at a pipe, itself included. */
     private static final double PIPE_QUEUE = 4;
 
+    /** What a chain of engines whose memory is full costs more than one of unused engines. */
+    private static final double FULL_MILLIS = 10_000;
+
     /**
      * How many nodes an engine's memory must at least be enough for. With one node filling all of
      * it, the requests of the others would be preempted.
@@ -52,16 +55,22 @@
 
     private final EngineSpec spec;
     private final EngineLoad load;
+    private final RandomGenerator random;
+    private final long nowNanos;
 
     /**
      * Creates a search.
      *
      * @param spec how the engines behave
      * @param load what this node has at them
+     * @param random chooses among zones that may be visited
+     * @param nowNanos time now
      */
-    public ChainSearch(EngineSpec spec, EngineLoad load) {
+    public ChainSearch(EngineSpec spec, EngineLoad load, RandomGenerator random, long nowNanos) {
         this.spec = spec;
         this.load = load;
+        this.random = random;
+        this.nowNanos = nowNanos;
     }
 
     /**
@@ -81,13 +90,16 @@
         }
     }
 
+    /** An engine with its memory, in tokens of one layer, and what it costs to run a layer. */
+    private record Candidate(Endpoint engine, LayerRange held, double room, double layerCost) {}
+
     private record Label(int layer, Endpoint last, int start, double cost, Label before) {
         boolean uses(InstanceId id) {
             return last != null && (last.id().equals(id) || (before != null && before.uses(id)));
         }
     }
 
-    private record Vertex(int layer, InstanceId last) {}
+    private record Goal(String zone, int layer, Size size, Predicate<Endpoint> mayBegin) {}
 
     /**
      * Finds the cheapest chain.
@@ -105,30 +117,50 @@
             Size size,
             Set<InstanceId> excluded,
             Predicate<Endpoint> mayBegin) {
-        List<Endpoint> candidates = candidates(engines, size, excluded);
+        List<Candidate> candidates = candidates(engines, size, excluded);
+        Map<String, List<Candidate>> zones =
+                candidates.stream().collect(Collectors.groupingBy(c -> c.engine.zone()));
         Goal goal = new Goal(zone, spec.layers(), size, mayBegin);
-        return cheapest(candidates, goal)
-                .or(() -> cheapest(withinGreatestShare(engines, size, excluded), goal))
-                .map(end -> new EngineChain(hops(end)));
-    }
-
-    private Optional<Label> cheapest(List<Endpoint> candidates, Goal goal) {
-        Map<String, List<Endpoint>> zones =
-                candidates.stream().collect(Collectors.groupingBy(Endpoint::zone));
         Label start = new Label(0, null, 0, 0, null);
-        return search(zones.getOrDefault(goal.zone, List.of()), start, goal)
-                .or(() -> cheapestZone(zones, start, goal))
-                .or(() -> search(candidates, start, goal));
+        List<Candidate> own = zones.getOrDefault(zone, List.of());
+        Optional<Label> end =
+                (spareTokens(own) >= size.tokens() ? search(own, start, goal) : NO_CHAIN)
+                        .or(() -> visit(zones, start, goal))
+                        .or(() -> search(withinGreatestShare(own, size), start, goal))
+                        .or(() -> search(withinGreatestShare(candidates, size), start, goal));
+        return end.map(label -> new EngineChain(hops(label)));
     }
 
-    /** Another zone serves its own callers first, so it is used only as far as it has room. */
-    private Optional<Label> cheapestZone(
-            Map<String, List<Endpoint>> zones, Label start, Goal goal) {
+    private static final Optional<Label> NO_CHAIN = Optional.empty();
+
+    /**
+     * Draws another zone by its room beside its own callers, which are taken to be as many as those
+     * of this node's zone. If all nodes took the roomiest, they would fill it together.
+     */
+    private Optional<Label> visit(Map<String, List<Candidate>> zones, Label start, Goal goal) {
         return zones.entrySet().stream()
                 .filter(zone -> !zone.getKey().equals(goal.zone))
-                .map(zone -> zone.getValue().stream().filter(e -> hasSpareRoom(e, goal.size)))
-                .flatMap(engines -> search(engines.toList(), start, goal).stream())
-                .min(Comparator.comparingDouble(Label::cost));
+                .map(Map.Entry::getValue)
+                .filter(engines -> spareTokens(engines) >= goal.size.tokens())
+                .sorted(Comparator.comparingDouble(this::draw))
+                .flatMap(engines -> search(engines, start, goal).stream())
+                .findFirst();
+    }
+
+    /** Exponential times of which the first is each one's with a chance by its rate. */
+    private double draw(List<Candidate> engines) {
+        return -Math.log(1 - random.nextDouble()) / spareTokens(engines);
+    }
+
+    /** Tokens that the layer with least memory has room for beside a zone's callers. */
+    private double spareTokens(List<Candidate> engines) {
+        double[] room = new double[spec.layers()];
+        for (Candidate c : engines) {
+            for (int layer = c.held.from(); layer < Math.min(c.held.to(), room.length); layer++) {
+                room[layer] += c.room / c.held.size();
+            }
+        }
+        return Arrays.stream(room).min().orElse(0) - load.zoneTokens();
     }
 
     /**
@@ -175,108 +207,112 @@
                         });
     }
 
-    private record Goal(String zone, int layer, Size size, Predicate<Endpoint> mayBegin) {}
+    /**
+     * Shortest path over pairs of a boundary between layers and the zone that it is reached in, in
+     * the order of the layers.
+     */
+    private Optional<Label> search(List<Candidate> candidates, Label start, Goal goal) {
+        int[] boundaries = boundaries(candidates, start.layer, goal.layer);
+        Map<String, Label>[] best = reached(goal.layer);
+        best[start.layer].put(goal.zone, start);
+        for (int layer : boundaries) {
+            for (Label label : best[layer].values()) {
+                for (Candidate candidate : candidates) {
+                    boolean covers = candidate.held.from() <= layer && candidate.held.to() > layer;
+                    if (covers && mayFollow(candidate.engine, label, goal)) {
+                        extend(label, candidate, boundaries, goal, best);
+                    }
+                }
+            }
+        }
+        return best[goal.layer].values().stream().min(Comparator.comparingDouble(Label::cost));
+    }
+
+    @SuppressWarnings({"unchecked", "rawtypes"})
+    private static Map<String, Label>[] reached(int last) {
+        Map<String, Label>[] best = new Map[last + 1];
+        Arrays.setAll(best, layer -> new HashMap<String, Label>(2));
+        return best;
+    }
+
+    private static boolean mayFollow(Endpoint engine, Label label, Goal goal) {
+        return label.last == null ? goal.mayBegin.test(engine) : !label.uses(engine.id());
+    }
 
-    private Optional<Label> search(List<Endpoint> candidates, Label start, Goal goal) {
-        NavigableSet<Integer> boundaries = boundaries(candidates, goal.layer);
-        Map<Vertex, Double> settled = new HashMap<>();
-        PriorityQueue<Label> open = new PriorityQueue<>((a, b) -> Double.compare(a.cost, b.cost));
-        open.add(start);
-        while (!open.isEmpty()) {
-            Label label = open.poll();
-            if (label.layer == goal.layer) {
-                return Optional.of(label);
+    private void extend(
+            Label label,
+            Candidate candidate,
+            int[] boundaries,
+            Goal goal,
+            Map<String, Label>[] best) {
+        String zone = candidate.engine.zone();
+        String from = label.last == null ? goal.zone : label.last.zone();
+        double begun = label.cost + goal.size.answerTokens() * HOP_MILLIS;
+        if (!from.equals(zone)) {
+            begun += crossingCost(goal.size);
+        }
+        int most = Math.min(candidate.held.to(), goal.layer);
+        for (int end : boundaries) {
+            if (end <= label.layer || end > most) {
+                continue;
             }
-            InstanceId last = label.last == null ? null : label.last.id();
-            if (settled.putIfAbsent(new Vertex(label.layer, last), label.cost) == null) {
-                List<Endpoint> next =
-                        last == null
-                                ? candidates.stream().filter(goal.mayBegin).toList()
-                                : candidates;
-                extend(label, next, boundaries, goal, open);
+            double cost = begun + (end - label.layer) * candidate.layerCost;
+            Label known = best[end].get(zone);
+            if (known == null || cost < known.cost) {
+                best[end].put(zone, new Label(end, candidate.engine, label.layer, cost, label));
             }
         }
-        return Optional.empty();
     }
 
-    private List<Endpoint> candidates(List<Endpoint> engines, Size size, Set<InstanceId> excluded) {
-        return fit(engines, excluded).filter(e -> hasRoom(e, size)).toList();
+    private List<Candidate> candidates(
+            List<Endpoint> engines, Size size, Set<InstanceId> excluded) {
+        return engines.stream()
+                .filter(e -> e.layers().isPresent() && spec.kind(e.kind()).isPresent())
+                .filter(e -> !excluded.contains(e.id()))
+                .map(e -> candidate(e, size))
+                .filter(c -> load.ownTokens(c.engine.id()) + need(c, size) <= c.room)
+                .toList();
     }
 
     /**
      * Lists the engines of which this node alone has not filled its greatest share. The callers may
      * mostly have come to this node, as after a failure of the others.
      */
-    private List<Endpoint> withinGreatestShare(
-            List<Endpoint> engines, Size size, Set<InstanceId> excluded) {
-        return fit(engines, excluded)
-                .filter(e -> LEAST_SHARERS * load.ownTokens(e.id()) + size.tokens() <= capacity(e))
+    private List<Candidate> withinGreatestShare(List<Candidate> candidates, Size size) {
+        return candidates.stream()
+                .filter(
+                        c ->
+                                LEAST_SHARERS * load.ownTokens(c.engine.id()) + need(c, size)
+                                        <= c.room)
                 .toList();
     }
 
-    private Stream<Endpoint> fit(List<Endpoint> engines, Set<InstanceId> excluded) {
-        return engines.stream()
-                .filter(e -> e.layers().isPresent() && spec.kind(e.kind()).isPresent())
-                .filter(e -> !excluded.contains(e.id()));
-    }
-
-    private boolean hasRoom(Endpoint engine, Size size) {
-        return load.tokens(engine.id()) + size.tokens() <= capacity(engine);
+    /** Tokens of one layer that a request holds at an engine which runs all that it holds. */
+    private static long need(Candidate candidate, Size size) {
+        return size.tokens() * candidate.held.size();
     }
 
-    private boolean hasSpareRoom(Endpoint engine, Size size) {
-        return load.tokensAsVisitor(engine.id()) + size.tokens() <= capacity(engine);
-    }
-
-    private double capacity(Endpoint engine) {
-        EngineKind kind = spec.kind(engine.kind()).orElseThrow();
-        return spec.tokensBeside(kind, engine.layers().orElseThrow().size());
-    }
-
-    private NavigableSet<Integer> boundaries(List<Endpoint> engines, int goal) {
-        NavigableSet<Integer> boundaries = new TreeSet<>(Set.of(goal));
-        for (Endpoint engine : engines) {
-            boundaries.add(engine.layers().orElseThrow().from());
-            boundaries.add(engine.layers().orElseThrow().to());
-        }
-        return boundaries;
-    }
-
-    private void extend(
-            Label label,
-            List<Endpoint> engines,
-            NavigableSet<Integer> boundaries,
-            Goal goal,
-            PriorityQueue<Label> open) {
-        String from = label.last == null ? goal.zone : label.last.zone();
-        for (Endpoint engine : engines) {
-            LayerRange held = engine.layers().orElseThrow();
-            if (held.from() > label.layer || held.to() <= label.layer || label.uses(engine.id())) {
-                continue;
-            }
-            int most = Math.min(held.to(), goal.layer);
-            for (int end : boundaries.subSet(label.layer, false, most, true)) {
-                double cost = label.cost + hopCost(engine, end - label.layer, goal.size);
-                if (!from.equals(engine.zone())) {
-                    cost += crossingCost(goal.size);
-                }
-                open.add(new Label(end, engine, label.layer, cost, label));
-            }
-        }
+    private static int[] boundaries(List<Candidate> engines, int first, int last) {
+        return IntStream.concat(
+                        IntStream.of(first, last),
+                        engines.stream()
+                                .flatMapToInt(c -> IntStream.of(c.held.from(), c.held.to())))
+                .filter(layer -> layer >= first && layer <= last)
+                .sorted()
+                .distinct()
+                .toArray();
     }
 
-    private double hopCost(Endpoint engine, int layers, Size size) {
+    private Candidate candidate(Endpoint engine, Size size) {
         EngineKind kind = spec.kind(engine.kind()).orElseThrow();
-        double share = (double) layers / spec.layers();
-        double others = load.requests(engine.id());
-        double context = load.tokens(engine.id()) / MILLIS;
-        double step =
-                spec.stepMillis()
-                        + others * spec.perRequestMillis()
-                        + context * spec.contextMillis();
+        LayerRange held = engine.layers().orElseThrow();
+        double room = spec.tokensBeside(kind, held.size()) * held.size();
+        double need = (double) size.tokens() * held.size();
+        double use = load.use(engine.id(), room, need, nowNanos);
         double read = size.promptTokens() * MILLIS / spec.readTokensPerSecond();
-        return share * read * kind.readFactor()
-                + size.answerTokens() * (share * step * kind.stepFactor() + HOP_MILLIS);
+        double write = size.answerTokens() * spec.stepMillis();
+        double chain = read * kind.readFactor() + write * kind.stepFactor() + FULL_MILLIS * use;
+        return new Candidate(engine, held, room, chain / spec.layers());
     }
 
     private double crossingCost(Size size) {
--- a/src/main/java/hyssopturn/chain/EngineChain.java
+++ b/src/main/java/hyssopturn/chain/EngineChain.java
@@ -47,6 +47,19 @@
         return crossings;
     }
 
+    /**
+     * Tells where the chain's engines stand, in words for the log.
+     *
+     * @param own availability zone to tell it from
+     * @return {@code own zone}, {@code other zone} or {@code several zones}
+     */
+    public String reach(String own) {
+        if (crossings() > 0) {
+            return "several zones";
+        }
+        return first().engine().zone().equals(own) ? "own zone" : "other zone";
+    }
+
     /**
      * Tells whether an engine is part of the chain.
      *
--- a/src/main/java/hyssopturn/chain/EngineLoad.java
+++ b/src/main/java/hyssopturn/chain/EngineLoad.java
@@ -5,32 +5,48 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.random.RandomGenerator;
 
 /**
- * Requests and tokens that this node has at each engine; not thread-safe.
+ * What this node has at each engine, and what it takes all nodes to have there; not thread-safe.
  *
- * <p>What other nodes send is not known at once. Callers of a zone are spread over its nodes, so
- * the node takes its own part times the number of nodes that share the zone.
+ * <p>Nodes do not tell each other what they send. Each takes the others to do as it does itself.
+ * The more nodes there are, the less a node's own few requests tell of a single engine, so the
+ * estimate is blurred by as much as one more request would change it: nodes that know equally
+ * little then choose differently, and together fill the engines evenly.
  */
 public final class EngineLoad {
     /** How long an engine that refused is taken to have no room; requests end about as often. */
     static final Duration FULL = Duration.ofMillis(200);
 
-    private final int sharers;
+    /** How long an engine that refused is taken to be fuller than others. */
+    static final Duration REFUSAL_MEMORY = Duration.ofSeconds(1);
+
+    private final RandomGenerator random;
     private final Map<InstanceId, Long> refusedNanos = new HashMap<>();
-    private final Map<InstanceId, Held> held = new HashMap<>();
+    private final Map<InstanceId, Long> held = new HashMap<>();
+    private double sharers;
     private long total;
 
     /**
      * Creates a load of zero.
      *
-     * @param sharers number of nodes that send about as much to an engine as this one
+     * @param random blurs the estimates
+     * @param sharers number of nodes that share an availability zone's engines, this one included
      */
-    public EngineLoad(int sharers) {
+    public EngineLoad(RandomGenerator random, double sharers) {
+        this.random = random;
         this.sharers = sharers;
     }
 
-    private record Held(int requests, long tokens) {}
+    /**
+     * Sets how many nodes share the engines of an availability zone.
+     *
+     * @param nodes the number, this node included; at least 1
+     */
+    public void sharers(double nodes) {
+        sharers = Math.max(1, nodes);
+    }
 
     /**
      * Adds a request to every engine of a chain.
@@ -40,7 +56,7 @@
      */
     public void add(EngineChain chain, long tokens) {
         total += tokens;
-        change(chain, 1, tokens);
+        change(chain, tokens);
     }
 
     /**
@@ -51,18 +67,13 @@
      */
     public void remove(EngineChain chain, long tokens) {
         total -= tokens;
-        change(chain, -1, -tokens);
+        change(chain, -tokens);
     }
 
-    private void change(EngineChain chain, int requests, long tokens) {
+    private void change(EngineChain chain, long tokens) {
         for (Hop hop : chain.hops()) {
-            held.merge(
-                    hop.engine().id(),
-                    new Held(requests, tokens),
-                    (a, b) ->
-                            a.requests + b.requests == 0
-                                    ? null
-                                    : new Held(a.requests + b.requests, a.tokens + b.tokens));
+            long more = tokens * hop.range().size();
+            held.merge(hop.engine().id(), more, (a, b) -> a + b == 0 ? null : a + b);
         }
     }
 
@@ -73,7 +84,7 @@
      * @param nowNanos time now
      */
     public void refused(InstanceId engine, long nowNanos) {
-        refusedNanos.values().removeIf(at -> nowNanos - at >= FULL.toNanos());
+        refusedNanos.values().removeIf(at -> nowNanos - at >= REFUSAL_MEMORY.toNanos());
         refusedNanos.put(engine, nowNanos);
     }
 
@@ -90,43 +101,43 @@
     }
 
     /**
-     * Estimates the requests at an engine.
+     * Estimates the part of an engine's memory that requests of all nodes hold. The estimate is
+     * drawn anew each time; only its mean over many draws is right.
      *
      * @param engine the engine
-     * @return number of requests of all nodes
+     * @param room its memory, in tokens of one layer
+     * @param request what one more request may hold there, in tokens of one layer
+     * @param nowNanos time now
+     * @return the part, about 0 to 1, and more if the engine refused a short time ago
      */
-    public int requests(InstanceId engine) {
-        return sharers * held.getOrDefault(engine, new Held(0, 0)).requests;
+    double use(InstanceId engine, double room, double request, long nowNanos) {
+        double blurred = ownTokens(engine) + request * random.nextDouble();
+        return sharers * blurred / room + afterRefusal(engine, nowNanos);
     }
 
-    /**
-     * Estimates the tokens that requests hold at an engine of another zone. The callers there are
-     * taken to be as many as those of this node's zone.
-     *
-     * @param engine the engine
-     * @return number of tokens of all nodes
-     */
-    public long tokensAsVisitor(InstanceId engine) {
-        return tokens(engine) + sharers * total;
+    private double afterRefusal(InstanceId engine, long nowNanos) {
+        Long at = refusedNanos.get(engine);
+        return at == null
+                ? 0
+                : Math.max(0, 1 - (double) (nowNanos - at) / REFUSAL_MEMORY.toNanos());
     }
 
     /**
-     * Counts the tokens that this node's requests hold at an engine.
+     * Estimates the tokens that the requests of all nodes of an availability zone hold.
      *
-     * @param engine the engine
-     * @return number of tokens
+     * @return number of tokens, each counted once for a whole chain
      */
-    public long ownTokens(InstanceId engine) {
-        return held.getOrDefault(engine, new Held(0, 0)).tokens;
+    public double zoneTokens() {
+        return sharers * total;
     }
 
     /**
-     * Estimates the tokens that requests hold at an engine.
+     * Counts the tokens that this node's requests hold at an engine.
      *
      * @param engine the engine
-     * @return number of tokens of all nodes
+     * @return number of tokens of one layer
      */
-    public long tokens(InstanceId engine) {
-        return sharers * ownTokens(engine);
+    long ownTokens(InstanceId engine) {
+        return held.getOrDefault(engine, 0L);
     }
 }
--- a/src/main/java/hyssopturn/chain/LayerController.java
+++ b/src/main/java/hyssopturn/chain/LayerController.java
@@ -22,7 +22,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-import java.util.function.DoubleConsumer;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 /**
@@ -53,7 +53,7 @@
     private final EngineControl engines;
     private final Clock clock;
     private final TraceLog trace;
-    private final DoubleConsumer shares;
+    private final Consumer<Duties.Dealt> listener;
     private final Map<InstanceId, Ordered> ordered = new HashMap<>();
     private final Map<InstanceId, Long> firstSeen = new HashMap<>();
     private OptionalLong fence = OptionalLong.empty();
@@ -72,7 +72,7 @@
      * @param engines takes orders
      * @param clock time
      * @param trace structured log
-     * @param shares gets this node's part of what all nodes may use together
+     * @param listener gets what was dealt to this node
      */
     public LayerController(
             Supplier<Optional<Catalog>> catalog,
@@ -81,8 +81,8 @@
             EngineControl engines,
             Clock clock,
             TraceLog trace,
-            DoubleConsumer shares) {
-        this.shares = shares;
+            Consumer<Duties.Dealt> listener) {
+        this.listener = listener;
         this.catalog = catalog;
         this.roster = roster;
         this.duties = duties;
@@ -130,7 +130,7 @@
                     "duties not joined: %s", error);
             return;
         }
-        shares.accept(dealt.share());
+        listener.accept(dealt);
         OptionalLong held = dealt.placement();
         if (held.isEmpty()) {
             settled = false;
--- a/src/main/java/hyssopturn/cli/RouterCommand.java
+++ b/src/main/java/hyssopturn/cli/RouterCommand.java
@@ -88,9 +88,7 @@
                 settings.get(RouterOptions.FIRST_EVENT_STALL),
                 settings.get(RouterOptions.GAP_STALL),
                 settings.get(RouterOptions.RETRY_AFTER),
-                settings.get(RouterOptions.CONFIG_WAIT),
-                settings.get(RouterOptions.NODES_AT_MOST),
-                settings.get(RouterOptions.SHARERS),
+                settings.get(RouterOptions.NODES),
                 settings.get(RouterOptions.LOG_LINES));
     }
 }
--- a/src/main/java/hyssopturn/cli/RouterOptions.java
+++ b/src/main/java/hyssopturn/cli/RouterOptions.java
@@ -52,25 +52,12 @@
                     new Kind.Span(MILLI, MINUTE),
                     "1s",
                     "Time after which a refused caller should come back");
-    static final Setting<Duration> CONFIG_WAIT =
+    static final Setting<Integer> NODES =
             new Setting<>(
-                    "config-wait",
-                    new Kind.Span(MILLI, MINUTE),
-                    "1500ms",
-                    "How long a read of the configuration waits for a change");
-    static final Setting<Integer> NODES_AT_MOST =
-            new Setting<>(
-                    "nodes-at-most",
+                    "nodes",
                     new Kind.Whole(1, MAX_NODES),
                     "16",
-                    "Nodes that the fixed part of the retry budget is split over until the platform"
-                            + " has dealt it out");
-    static final Setting<Integer> SHARERS =
-            new Setting<>(
-                    "sharers",
-                    new Kind.Whole(1, MAX_NODES),
-                    "3",
-                    "Nodes that send about as much to an engine as this one");
+                    "Nodes that are taken to run until the platform's log has told how many do");
     static final Setting<Integer> LOG_LINES =
             new Setting<>(
                     "log-lines",
@@ -87,9 +74,7 @@
                     FIRST_EVENT_STALL,
                     GAP_STALL,
                     RETRY_AFTER,
-                    CONFIG_WAIT,
-                    NODES_AT_MOST,
-                    SHARERS,
+                    NODES,
                     LOG_LINES);
 
     private RouterOptions() {}
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -8,6 +8,7 @@
 import hyssopturn.model.Address;
 import hyssopturn.platform.PlatformAdapter;
 import hyssopturn.platform.PlatformSettings;
+import hyssopturn.port.Duties;
 import hyssopturn.relay.Knowledge;
 import hyssopturn.relay.LoopLag;
 import hyssopturn.relay.Relay;
@@ -36,14 +37,15 @@
 
 /** A node between callers and endpoints on the users' platform, all on one event loop. */
 public final class RelayNode {
-    private static final Duration ENDPOINT_READ_PAUSE = Duration.ofSeconds(1);
-
     /** Longest usual delay between tries to read a stream that cannot be read. */
     private static final Duration READ_AGAIN = Duration.ofMillis(300);
 
     /** How long a read of fault reports waits; short enough to leave a silent connection soon. */
     private static final Duration FAULT_WAIT = Duration.ofSeconds(5);
 
+    private static final Duration ENDPOINT_READ_PAUSE = Duration.ofSeconds(1);
+    private static final Duration CONFIG_WAIT = Duration.ofMillis(1_500);
+
     private static final Duration DRAIN_TICK = Duration.ofMillis(50);
 
     /** Time without a byte after which a caller's connection ends; above any route's timeout. */
@@ -74,6 +76,9 @@
     private final KeyedFollower endpoints;
     private final KeyedFollower faults;
     private final LayerController layers;
+    private final RetryAllowance retries;
+    private final EngineLoad load;
+    private double share;
 
     /**
      * Assembles a node that has not started.
@@ -96,7 +101,8 @@
                         settings.logLines(),
                         new EventCounters(meters));
         SplittableRandom random = new SplittableRandom();
-        RetryAllowance retries = retries(settings);
+        retries = retries(settings);
+        load = new EngineLoad(random, sharers(settings.nodes()));
         HttpClient endpointClient =
                 Connections.oneCallEach(vertx, ENDPOINT_CONNECTIONS, settings.connectTimeout());
         PlatformAdapter adapter =
@@ -116,7 +122,7 @@
                                 clock,
                                 random,
                                 retries,
-                                new EngineLoad(settings.sharers()),
+                                load,
                                 new ConnectProbe(vertx, CHECK_LIMIT),
                                 new LoopLag(),
                                 faultBoard,
@@ -128,7 +134,7 @@
                 new KeyedFollower(
                         adapter.log(),
                         adapter.configStream(),
-                        new KeyedFollower.Pacing(settings.configWait(), Duration.ZERO),
+                        new KeyedFollower.Pacing(CONFIG_WAIT, Duration.ZERO),
                         clock,
                         new Backoff(random, READ_AGAIN),
                         new CatalogListener(knowledge, adapter::catalog, clock, trace));
@@ -156,7 +162,7 @@
                         adapter.engines(),
                         clock,
                         trace,
-                        retries::share);
+                        this::dealt);
     }
 
     private RetryAllowance retries(RelayNodeSettings settings) {
@@ -164,7 +170,21 @@
                 platform.retryRatio(),
                 platform.retryWindow().toNanos(),
                 platform.retryFixed(),
-                1.0 / settings.nodesAtMost());
+                1.0 / settings.nodes());
+    }
+
+    /** Nodes of this availability zone, to which instances are taken to be spread evenly. */
+    private double sharers(double nodes) {
+        return nodes / platform.zones();
+    }
+
+    private void dealt(Duties.Dealt dealt) {
+        if (dealt.share() != share) {
+            share = dealt.share();
+            trace.record(new TraceEvent.ShareDealt(share, dealt.nodes().orElse(-1)));
+        }
+        retries.share(share);
+        dealt.nodes().ifPresent(nodes -> load.sharers(sharers(nodes)));
     }
 
     private RelaySettings relaySettings(RelayNodeSettings settings) {
--- a/src/main/java/hyssopturn/node/RelayNodeSettings.java
+++ b/src/main/java/hyssopturn/node/RelayNodeSettings.java
@@ -11,9 +11,7 @@
  * @param firstEventStall time without a first event after which an engine is asked why
  * @param gapStall time without a further event after which an engine is asked why
  * @param retryAfter time after which a refused caller should come back
- * @param configWait how long a read of the configuration waits for a change
- * @param nodesAtMost number of nodes that the fixed part of the retry budget is split over
- * @param sharers nodes that send about as much to an engine as this one
+ * @param nodes number of nodes that are taken to run until the log has told how many do
  * @param logLines greatest number of log lines in a second
  */
 public record RelayNodeSettings(
@@ -23,7 +21,5 @@
         Duration firstEventStall,
         Duration gapStall,
         Duration retryAfter,
-        Duration configWait,
-        int nodesAtMost,
-        int sharers,
+        int nodes,
         int logLines) {}
--- a/src/main/java/hyssopturn/platform/GroupDuties.java
+++ b/src/main/java/hyssopturn/platform/GroupDuties.java
@@ -9,28 +9,36 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
 
 /**
  * Duties dealt out by a consumer group of the log: whoever holds a partition has its duty.
  *
  * <p>Partitions are dealt out evenly, so a node's part of them is its part of what all nodes may
- * use together. The group's generation grows with each change of holders, so it serves as fencing
- * token.
+ * use together, and tells how many nodes there are. The group's generation grows with each change
+ * of holders, so it serves as fencing token.
  */
 final class GroupDuties implements Duties {
     private static final String GROUP = "hyssopturn-duties";
-    private static final String TOPIC = "hyssopturn-duties";
     private static final int PLACEMENT = 0;
 
+    /** Fewest partitions; more than nodes, so that each node's share tells how many there are. */
+    private static final int LEAST_PARTITIONS = 512;
+
     private final Store store;
     private final String member;
+    private final List<String> topics;
     private final int partitions;
     private long generation;
 
-    GroupDuties(Store store, String member, int partitions) {
+    GroupDuties(Store store, String member, int partitionsEach) {
         this.store = store;
-        this.partitions = partitions;
         this.member = member;
+        topics =
+                IntStream.range(0, Math.ceilDiv(LEAST_PARTITIONS, partitionsEach))
+                        .mapToObj(i -> GROUP + "-" + i)
+                        .toList();
+        partitions = topics.size() * partitionsEach;
     }
 
     @Override
@@ -39,7 +47,7 @@
                 Map.of(
                         "group", GROUP,
                         "Member", member,
-                        "Topics", List.of(TOPIC),
+                        "Topics", topics,
                         "TtlMs", keep.toMillis(),
                         "Generation", generation);
         return store.post("/v1/log-join", message).thenApply(this::held);
@@ -50,7 +58,8 @@
         JsonNode rows = answer.path("parts");
         OptionalLong placement = OptionalLong.empty();
         for (JsonNode row : rows) {
-            if (row.path(1).asInt(-1) == PLACEMENT) {
+            boolean first = row.path(0).asText().equals(topics.getFirst());
+            if (first && row.path(1).asInt(-1) == PLACEMENT) {
                 placement = OptionalLong.of(generation);
             }
         }
--- a/src/main/java/hyssopturn/platform/PlatformSettings.java
+++ b/src/main/java/hyssopturn/platform/PlatformSettings.java
@@ -20,6 +20,7 @@
  *
  * @param node name of this instance
  * @param zone its availability zone
+ * @param zones number of availability zones
  * @param front where callers connect
  * @param readiness where the platform asks whether callers should be sent here
  * @param metrics where metrics are served; the first port that is free for the system's own use
@@ -33,6 +34,7 @@
 public record PlatformSettings(
         String node,
         String zone,
+        int zones,
         Address front,
         Address readiness,
         Address metrics,
@@ -69,6 +71,7 @@
         return new PlatformSettings(
                 text(file, "Node"),
                 text(file, "Zone"),
+                Math.max(1, file.path("Zones").size()),
                 Address.parse(text(listen, "Front")),
                 Address.parse(text(listen, "ReadinessAddress")),
                 new Address(text(file, "Ip"), file.path("InternalPorts").path(0).asInt()),
--- a/src/main/java/hyssopturn/platform/StandinPlatform.java
+++ b/src/main/java/hyssopturn/platform/StandinPlatform.java
@@ -99,6 +99,7 @@
         return new PlatformSettings(
                 settings.node(),
                 settings.zone(),
+                settings.zones(),
                 front,
                 readiness,
                 metrics,
@@ -167,7 +168,11 @@
                                     .put("Generation", 1)
                                     .put(
                                             "parts",
-                                            new JsonArray().add(new JsonArray().add("d").add(0)))
+                                            new JsonArray()
+                                                    .add(
+                                                            new JsonArray()
+                                                                    .add("hyssopturn-duties-0")
+                                                                    .add(0)))
                                     .toBuffer());
             case "/v1/log-leave", "/v1/log-append" -> response.end("{}");
             case "/v1/report" -> response.end("{\"Stalled\":[]}");
--- a/src/main/java/hyssopturn/port/Duties.java
+++ b/src/main/java/hyssopturn/port/Duties.java
@@ -1,6 +1,7 @@
 package hyssopturn.port;
 
 import java.time.Duration;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 
@@ -21,7 +22,16 @@
      *     node holds it
      * @param share its part of what all nodes may use together, from 0 to 1
      */
-    record Dealt(OptionalLong placement, double share) {}
+    record Dealt(OptionalLong placement, double share) {
+        /**
+         * Estimates how many nodes duties are dealt to.
+         *
+         * @return the number, empty while this node was dealt nothing
+         */
+        public OptionalDouble nodes() {
+            return share > 0 ? OptionalDouble.of(1 / share) : OptionalDouble.empty();
+        }
+    }
 
     /**
      * Gives up all duties, so that others take them at once.
--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -145,7 +145,9 @@
                                 offer.resumeAfter().orElse(-1),
                                 admitted.headers().promptTokens(),
                                 admitted.headers().answerTokens(),
-                                offer.patience().toMillis()));
+                                offer.patience().toMillis(),
+                                offer.chain().map(c -> c.reach(parts.settings().zone())).orElse(""),
+                                Math.round(parts.load().zoneTokens())));
         RequestOptions options =
                 new RequestOptions()
                         .setMethod(request.method())
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -90,8 +90,16 @@
         if (withRoom) {
             usable = usable.stream().filter(e -> !parts.load().full(e.id(), now)).toList();
         }
-        return new ChainSearch(spec, parts.load())
-                .cheapest(usable, parts.settings().zone(), size, excluded, first);
+        Optional<EngineChain> found =
+                search(now).cheapest(usable, parts.settings().zone(), size, excluded, first);
+        parts.meters()
+                .timer("hyssopturn.chain.searches", "found", String.valueOf(found.isPresent()))
+                .record(Duration.ofNanos(now() - now));
+        return found;
+    }
+
+    private ChainSearch search(long now) {
+        return new ChainSearch(spec, parts.load(), parts.random(), now);
     }
 
     private boolean stale(int attempt) {
@@ -312,8 +320,7 @@
 
     private Optional<EngineChain> around(Endpoint engine) {
         List<Endpoint> usable = parts.knowledge().roster().usable(admitted.service(), now());
-        return new ChainSearch(spec, parts.load())
-                .around(chain.orElseThrow(), engine.id(), usable, size, excluded);
+        return search(now()).around(chain.orElseThrow(), engine.id(), usable, size, excluded);
     }
 
     private void follow(EngineChain other) {
--- a/src/main/java/hyssopturn/trace/EventCounters.java
+++ b/src/main/java/hyssopturn/trace/EventCounters.java
@@ -40,13 +40,14 @@
             case TraceEvent.Ordered e ->
                     labels("", e.result().startsWith("no answer") ? "no answer" : e.result());
             case TraceEvent.Duty e -> labels("", e.held() ? "held" : "lost");
+            case TraceEvent.ShareDealt e -> labels("", "");
             case TraceEvent.Stopping e -> labels("", e.phase());
             case TraceEvent.LibraryMessage e -> labels("", e.level());
             case TraceEvent.Started e -> labels("", "");
             case TraceEvent.Reloaded e -> labels("", e.changed() ? "changed" : "same");
             case TraceEvent.ConfigInForce e -> labels("", "");
             case TraceEvent.Malformed e -> labels(e.stream(), "");
-            case TraceEvent.Offered e -> labels("", e.attempt() > 1 ? "again" : "first");
+            case TraceEvent.Offered e -> labels(e.reach(), e.attempt() > 1 ? "again" : "first");
             case TraceEvent.Stalled e -> labels("", "");
             case TraceEvent.Dropped e -> labels("", "");
         };
--- a/src/main/java/hyssopturn/trace/TraceEvent.java
+++ b/src/main/java/hyssopturn/trace/TraceEvent.java
@@ -77,6 +77,14 @@
      */
     record Duty(boolean held, long fence) implements TraceEvent {}
 
+    /**
+     * This node's part of what all nodes may use together changed.
+     *
+     * @param share the part, from 0 to 1
+     * @param nodes number of nodes that it stands for, -1 while this node has no part
+     */
+    record ShareDealt(double share, double nodes) implements TraceEvent {}
+
     /**
      * An engine was ordered to hold layers.
      *
@@ -99,6 +107,10 @@
      * @param promptTokens tokens of the prompt
      * @param answerTokens greatest number of tokens of the answer
      * @param leftMillis time that the endpoint was given, in milliseconds
+     * @param reach where the chain's engines stand: {@code own zone}, {@code other zone} or {@code
+     *     several zones}; empty for a plain service
+     * @param zoneTokens tokens that all nodes of the zone were taken to hold when the chain was
+     *     chosen
      */
     record Offered(
             String request,
@@ -108,7 +120,9 @@
             long after,
             long promptTokens,
             long answerTokens,
-            long leftMillis)
+            long leftMillis,
+            String reach,
+            long zoneTokens)
             implements TraceEvent {}
 
     /**
--- a/src/test/java/hyssopturn/chain/ChainBenchmark.java
+++ b/src/test/java/hyssopturn/chain/ChainBenchmark.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
 /** Time to choose a chain and to plan layers. */
@@ -55,7 +56,8 @@
 
     @Benchmark
     public Optional<EngineChain> choose() {
-        ChainSearch search = new ChainSearch(Engines.SPEC, new EngineLoad(3));
+        SplittableRandom random = new SplittableRandom(1);
+        ChainSearch search = new ChainSearch(Engines.SPEC, new EngineLoad(random, 3), random, 0);
         return search.cheapest(placed, "z0", new ChainSearch.Size(800, 154), Set.of(), e -> true);
     }
 
--- a/src/test/java/hyssopturn/chain/ChainSearchTest.java
+++ b/src/test/java/hyssopturn/chain/ChainSearchTest.java
@@ -25,19 +25,21 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.SplittableRandom;
 
 class ChainSearchTest {
     private static final ChainSearch.Size SIZE = new ChainSearch.Size(800, 154);
 
     private static Optional<EngineChain> search(List<Endpoint> engines, String... excluded) {
-        return search(engines, new EngineLoad(1), excluded);
+        return search(engines, new EngineLoad(new SplittableRandom(1), 1), excluded);
     }
 
     private static Optional<EngineChain> search(
             List<Endpoint> engines, EngineLoad load, String... excluded) {
         Set<InstanceId> without =
                 Set.copyOf(List.of(excluded).stream().map(InstanceId::new).toList());
-        return new ChainSearch(SPEC, load).cheapest(engines, "a", SIZE, without, e -> true);
+        return new ChainSearch(SPEC, load, new SplittableRandom(1), 0)
+                .cheapest(engines, "a", SIZE, without, e -> true);
     }
 
     @Nested
@@ -68,7 +70,7 @@
                             holding("a1", "a", ROOMY, 0, 64),
                             holding("b1", "b", ROOMY_SLOW, 0, 64),
                             holding("b2", "b", LARGE, 64, 80));
-            EngineLoad load = new EngineLoad(1);
+            EngineLoad load = new EngineLoad(new SplittableRandom(1), 1);
             EngineChain own = search(List.of(holding("a0", "a", ROOMY, 0, 80)), load).orElseThrow();
             for (int i = 0; i < 64; i++) {
                 load.add(own, SIZE.tokens());
@@ -92,7 +94,7 @@
         for (int from = 0; from < LAYERS; from += 16) {
             engines.add(holding("a" + from, "a", LARGE, from, from + 16));
         }
-        EngineLoad load = new EngineLoad(3);
+        EngineLoad load = new EngineLoad(new SplittableRandom(1), 3);
         int admitted = 0;
         while (admitted < 1_000) {
             Optional<EngineChain> chain = search(engines, load);
@@ -132,7 +134,7 @@
                             holding("a3", "a", LARGE, 32, 48),
                             holding("a4", "a", LARGE, 48, 64),
                             holding("a5", "a", LARGE, 64, 80));
-            EngineLoad load = new EngineLoad(1);
+            EngineLoad load = new EngineLoad(new SplittableRandom(1), 1);
             int admitted = 0;
             for (Optional<EngineChain> c = search(engines, load);
                     c.isPresent();
@@ -159,7 +161,11 @@
         private Optional<EngineChain> around(String lost, String... excluded) {
             Set<InstanceId> without =
                     Set.copyOf(List.of(excluded).stream().map(InstanceId::new).toList());
-            return new ChainSearch(SPEC, new EngineLoad(1))
+            return new ChainSearch(
+                            SPEC,
+                            new EngineLoad(new SplittableRandom(1), 1),
+                            new SplittableRandom(1),
+                            0)
                     .around(chain, new InstanceId(lost), engines, SIZE, without);
         }
 
--- a/src/test/java/hyssopturn/platform/RelayBench.java
+++ b/src/test/java/hyssopturn/platform/RelayBench.java
@@ -110,7 +110,7 @@
                         clock,
                         new SplittableRandom(1),
                         new RetryAllowance(0.2, Duration.ofSeconds(10).toNanos(), 100, 1),
-                        new EngineLoad(1),
+                        new EngineLoad(new SplittableRandom(1), 1),
                         address -> CompletableFuture.completedFuture(!dead.contains(address)),
                         new LoopLag(),
                         endpoint -> {},
--- a/src/test/java/hyssopturn/platform/StoreTest.java
+++ b/src/test/java/hyssopturn/platform/StoreTest.java
@@ -192,16 +192,17 @@
 
         @Test
         void theHolderOfTheFirstPartitionPlacesLayers() {
-            Duties.Dealt dealt = join("[\"d\",0,0],[\"d\",5,0]");
+            Duties.Dealt dealt =
+                    join("[\"hyssopturn-duties-0\",0,0],[\"hyssopturn-duties-63\",0,0]");
             assertThat(dealt.placement(), equalTo(OptionalLong.of(7)));
-            assertThat(dealt.share(), equalTo(0.25));
+            assertThat(dealt.share(), equalTo(2.0 / 512));
         }
 
         @Test
         void othersHoldAShareOnly() {
-            Duties.Dealt dealt = join("[\"d\",3,0]");
+            Duties.Dealt dealt = join("[\"hyssopturn-duties-1\",0,0]");
             assertThat(dealt.placement(), equalTo(OptionalLong.empty()));
-            assertThat(dealt.share(), equalTo(0.125));
+            assertThat(dealt.share(), equalTo(1.0 / 512));
             assertThat(asked.getFirst(), containsString("log-join"));
         }
     }
