Read the log as seldom as its bounds allow

A read that waits for a configuration may last as long as a silent connection may stay unnoticed (time after an outage by which a node must be settled, less a second), a read of endpoints comes after half of the time in which a leaving one must be left, and reports of one fault by several nodes are read together. Both bounds come from the platform's settings, so other bounds give other pauses.

--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -43,8 +43,11 @@
     /** How long a read of fault reports waits; short enough to leave a silent connection soon. */
     private static final Duration FAULT_WAIT = Duration.ofSeconds(5);
 
-    private static final Duration ENDPOINT_READ_PAUSE = Duration.ofSeconds(1);
-    private static final Duration CONFIG_WAIT = Duration.ofMillis(1_500);
+    /** Pause between reads of fault reports, as several nodes mostly report the same fault. */
+    private static final Duration FAULT_PAUSE = Duration.ofMillis(100);
+
+    /** Time to find out that a read was lost and to read again. */
+    private static final Duration READ_LOST = Duration.ofSeconds(1);
 
     private static final Duration DRAIN_TICK = Duration.ofMillis(50);
 
@@ -134,7 +137,8 @@
                 new KeyedFollower(
                         adapter.log(),
                         adapter.configStream(),
-                        new KeyedFollower.Pacing(CONFIG_WAIT, Duration.ZERO),
+                        new KeyedFollower.Pacing(
+                                platform.settled().minus(READ_LOST), Duration.ZERO),
                         clock,
                         new Backoff(random, READ_AGAIN),
                         new CatalogListener(knowledge, adapter::catalog, clock, trace));
@@ -142,7 +146,8 @@
                 new KeyedFollower(
                         adapter.log(),
                         adapter.endpointStream(),
-                        new KeyedFollower.Pacing(Duration.ZERO, ENDPOINT_READ_PAUSE),
+                        new KeyedFollower.Pacing(
+                                Duration.ZERO, platform.leaveNotice().dividedBy(2)),
                         clock,
                         new Backoff(random, READ_AGAIN),
                         new RosterListener(knowledge.roster(), adapter::endpoint, clock, trace));
@@ -150,7 +155,7 @@
                 new KeyedFollower(
                         adapter.log(),
                         FaultReport.STREAM,
-                        new KeyedFollower.Pacing(FAULT_WAIT, Duration.ZERO),
+                        new KeyedFollower.Pacing(FAULT_WAIT, FAULT_PAUSE),
                         clock,
                         new Backoff(random),
                         faultBoard);
--- a/src/main/java/hyssopturn/platform/PlatformSettings.java
+++ b/src/main/java/hyssopturn/platform/PlatformSettings.java
@@ -26,6 +26,8 @@
  * @param metrics where metrics are served; the first port that is free for the system's own use
  * @param store where the platform's log listens
  * @param grace time from the request to stop until the process is killed
+ * @param leaveNotice time after which no request may reach an endpoint that said that it leaves
+ * @param settled time after an outage by which a node must know all that changed
  * @param retryRatio retries to a service for each of its requests
  * @param retryWindow span over which retries are counted
  * @param retryFixed retries that all nodes together may send in that span besides
@@ -40,12 +42,16 @@
         Address metrics,
         Address store,
         Duration grace,
+        Duration leaveNotice,
+        Duration settled,
         double retryRatio,
         Duration retryWindow,
         double retryFixed,
         int partitions) {
     private static final TomlMapper TOML = new TomlMapper();
     private static final double MILLIS = 1_000;
+    private static final double USUAL_LEAVE_MILLIS = 2_000;
+    private static final double USUAL_SETTLED_MILLIS = 3_000;
 
     /**
      * Reads the file.
@@ -77,12 +83,18 @@
                 new Address(text(file, "Ip"), file.path("InternalPorts").path(0).asInt()),
                 Address.parse(text(store, "Address")),
                 seconds(bounds, "GraceS"),
+                millis(bounds, "DrainMs", USUAL_LEAVE_MILLIS),
+                millis(bounds, "StableWindowMs", USUAL_SETTLED_MILLIS),
                 number(bounds, "BudgetRatio", 0),
                 seconds(bounds, "BudgetWindowS"),
                 number(bounds, "BudgetSlack", 0),
                 (int) Math.max(1, whole(store, "parts", 1)));
     }
 
+    private static Duration millis(JsonNode node, String field, double usual) {
+        return Duration.ofMillis(Math.round(number(node, field, usual)));
+    }
+
     private static Duration seconds(JsonNode node, String field) {
         return Duration.ofMillis(Math.round(number(node, field, 0) * MILLIS));
     }
--- a/src/main/java/hyssopturn/platform/StandinPlatform.java
+++ b/src/main/java/hyssopturn/platform/StandinPlatform.java
@@ -105,6 +105,8 @@
                 metrics,
                 address,
                 settings.grace(),
+                settings.leaveNotice(),
+                settings.settled(),
                 settings.retryRatio(),
                 settings.retryWindow(),
                 settings.retryFixed(),
--- a/src/main/java/hyssopturn/relay/Knowledge.java
+++ b/src/main/java/hyssopturn/relay/Knowledge.java
@@ -9,7 +9,7 @@
 /** What a node knows when it decides about a request; owned by one event loop. */
 public final class Knowledge {
     /** Age beyond which an unconfirmed configuration no longer proves that a route is missing. */
-    public static final Duration FRESH = Duration.ofMillis(2_500);
+    public static final Duration FRESH = Duration.ofSeconds(4);
 
     private final Roster roster = new Roster();
     private Optional<Catalog> catalog = Optional.empty();
