Answers that go on without end are cut off

Heads and chunk sizes were bounded by the HTTP library. Bodies of plain calls, refusals, reports of engines and pages of the log, and an event that never ends, were kept until the caller's time was over or memory was used up; an answer to a small call that kept dripping never ended at all.

The connection is closed, the request goes on elsewhere or ends as in doubt.

Tests: EndlessAnswersTest.

--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -113,6 +113,7 @@
                         platform,
                         Connections.oneCallEach(vertx, STORE_CONNECTIONS, STORE_CONNECT),
                         endpointClient,
+                        clock,
                         meters);
         FaultBoard faultBoard =
                 new FaultBoard(adapter.log(), knowledge.roster(), clock, trace, platform.node());
@@ -228,10 +229,14 @@
                         .setAcceptBacklog(BACKLOG)
                         .setIdleTimeout((int) CALLER_IDLE.toSeconds())
                         .setMaxHeaderSize(Connections.MAX_HEADER_BYTES)
+                        .setPerFrameWebSocketCompressionSupported(false)
+                        .setPerMessageWebSocketCompressionSupported(false)
+                        .setHttp2ClearTextEnabled(false)
                         .setHandle100ContinueAutomatically(true);
         Future<?> listening =
                 vertx.createHttpServer(options)
                         .requestHandler(handler)
+                        .connectionHandler(c -> c.exceptionHandler(this::connectionFailed))
                         .listen(address.port(), address.host());
         listening.onFailure(
                 e ->
@@ -240,6 +245,12 @@
                                         "listen " + address, "lost", String.valueOf(e))));
     }
 
+    /** A caller's connection failed; its requests in progress are told by their own handlers. */
+    private void connectionFailed(Throwable error) {
+        meters.counter("hyssopturn.connection.errors", "error", error.getClass().getSimpleName())
+                .increment();
+    }
+
     private void readiness(HttpServerRequest request) {
         request.response().setStatusCode(relay.ready() ? OK : UNAVAILABLE).end();
     }
--- a/src/main/java/hyssopturn/platform/HttpCalls.java
+++ b/src/main/java/hyssopturn/platform/HttpCalls.java
@@ -1,8 +1,10 @@
 package hyssopturn.platform;
 
 import hyssopturn.model.Address;
+import hyssopturn.port.Clock;
 import hyssopturn.port.InDoubtException;
 import hyssopturn.port.RefusedException;
+import hyssopturn.relay.BoundedBody;
 
 import io.micrometer.core.instrument.MeterRegistry;
 import io.vertx.core.buffer.Buffer;
@@ -17,7 +19,11 @@
 
 /** Small calls whose whole answer is wanted within a time. */
 final class HttpCalls {
+    /** Time that an answer may take besides, while bytes of it come. */
+    private static final Duration LONGEST_ANSWER = Duration.ofSeconds(3);
+
     private final HttpClient client;
+    private final Clock clock;
     private final MeterRegistry meters;
     private final String callee;
 
@@ -25,11 +31,13 @@
      * Creates calls.
      *
      * @param client connections
+     * @param clock time, whose tasks run on the event loop of the connections
      * @param meters counters of calls and their outcomes
      * @param callee name of those who are called, in the counters
      */
-    HttpCalls(HttpClient client, MeterRegistry meters, String callee) {
+    HttpCalls(HttpClient client, Clock clock, MeterRegistry meters, String callee) {
         this.client = client;
+        this.clock = clock;
         this.meters = meters;
         this.callee = callee;
     }
@@ -38,7 +46,7 @@
     record Answer(int status, Buffer body) {}
 
     /**
-     * Calls, and gives up after a time.
+     * Calls, and gives up after a time without a byte, or when an answer goes on without end.
      *
      * @return the answer; fails with {@link RefusedException} if nothing was sent and with {@link
      *     InDoubtException} if it may have been
@@ -68,7 +76,17 @@
                                                 RefusedException.Reason.UNREACHABLE,
                                                 to + ": " + e.getMessage())))
                 .onSuccess(request -> send(request, body, result));
-        result.whenComplete((answer, error) -> count(uri, answer, error));
+        Clock.Timer end =
+                clock.after(
+                        timeout.plus(LONGEST_ANSWER),
+                        () ->
+                                result.completeExceptionally(
+                                        new InDoubtException("answer without end")));
+        result.whenComplete(
+                (answer, error) -> {
+                    end.cancel();
+                    count(uri, answer, error);
+                });
         return result;
     }
 
@@ -93,18 +111,22 @@
 
     private static void send(
             HttpClientRequest request, Buffer body, CompletableFuture<Answer> result) {
+        result.whenComplete(
+                (answer, error) -> {
+                    if (error != null) {
+                        request.reset();
+                    }
+                });
         request.send(body)
                 .compose(
                         response ->
-                                response.body()
+                                BoundedBody.read(response)
                                         .map(bytes -> new Answer(response.statusCode(), bytes)))
                 .onComplete(
                         result::complete,
-                        e -> {
-                            request.reset();
-                            result.completeExceptionally(
-                                    new InDoubtException(
-                                            "no answer: " + e.getClass().getSimpleName(), e));
-                        });
+                        e ->
+                                result.completeExceptionally(
+                                        new InDoubtException(
+                                                "no answer: " + e.getClass().getSimpleName(), e)));
     }
 }
--- a/src/main/java/hyssopturn/platform/PlatformAdapter.java
+++ b/src/main/java/hyssopturn/platform/PlatformAdapter.java
@@ -2,6 +2,7 @@
 
 import hyssopturn.catalog.Catalog;
 import hyssopturn.fleet.Endpoint;
+import hyssopturn.port.Clock;
 import hyssopturn.port.Duties;
 import hyssopturn.port.EngineControl;
 import hyssopturn.port.KeyedLog;
@@ -24,16 +25,18 @@
      * @param settings the platform's settings
      * @param storeClient connections to the store
      * @param engineClient connections to engines
+     * @param clock time, whose tasks run on the event loop of the connections
      * @param meters counters of calls
      */
     public PlatformAdapter(
             PlatformSettings settings,
             HttpClient storeClient,
             HttpClient engineClient,
+            Clock clock,
             MeterRegistry meters) {
-        store = new Store(new HttpCalls(storeClient, meters, "store"), settings.store());
+        store = new Store(new HttpCalls(storeClient, clock, meters, "store"), settings.store());
         duties = new GroupDuties(store, settings.node(), settings.partitions());
-        engines = new HttpEngineControl(new HttpCalls(engineClient, meters, "engine"));
+        engines = new HttpEngineControl(new HttpCalls(engineClient, clock, meters, "engine"));
     }
 
     /**
--- a/src/main/java/hyssopturn/relay/EventFramer.java
+++ b/src/main/java/hyssopturn/relay/EventFramer.java
@@ -10,6 +10,10 @@
 /** Cuts the bytes of an event stream into whole events. */
 final class EventFramer {
     private static final String ID = "id:";
+
+    /** Longest event that is waited for, in bytes; far above those of engines. */
+    private static final int MAX_BYTES = 1_000_000;
+
     private static final byte NEWLINE = '\n';
     private static final byte RETURN = '\r';
 
@@ -48,6 +52,11 @@
         return rest.length() > 0;
     }
 
+    /** Tells whether more has come of one event than an event may have. */
+    boolean endless() {
+        return rest.length() > MAX_BYTES;
+    }
+
     private static OptionalLong id(Buffer event) {
         for (String line : event.toString(StandardCharsets.UTF_8).split("\n", -1)) {
             if (line.startsWith(ID)) {
--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -119,7 +119,7 @@
             failed(endpoint, opened, "endpoint refused");
             return;
         }
-        answer.body()
+        BoundedBody.read(answer)
                 .onComplete(
                         body -> whole(endpoint, opened, reply, answer, body),
                         e -> failed(endpoint, opened, "answer cut off"));
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -172,7 +172,7 @@
             recover(attempt, "engine failed");
             return;
         }
-        answer.body()
+        BoundedBody.read(answer)
                 .onComplete(
                         body -> passStatus(attempt, reply, answer, body),
                         e -> recover(attempt, "answer cut off"));
@@ -209,6 +209,9 @@
             }
         }
         deliver(answer, ready);
+        if (framer.endless()) {
+            recover(attempt, "event without end");
+        }
     }
 
     private void deliver(HttpClientResponse answer, Buffer ready) {
--- /dev/null
+++ b/src/test/java/hyssopturn/platform/EndlessAnswersTest.java
@@ -0,0 +1,132 @@
+package hyssopturn.platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import hyssopturn.model.LayerRange;
+import hyssopturn.port.InDoubtException;
+import hyssopturn.standin.VirtualClock;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+
+/** Workers whose bytes go on without end until the connection is closed. */
+class EndlessAnswersTest {
+    private static final String HEAD =
+            "HTTP/1.1 200 OK\r\nHyssopturn-Attempt-Id: r1\r\nHyssopturn-Server-Seal: s\r\n";
+    private static final int BAD_GATEWAY = 502;
+    private static final int OK = 200;
+    private static final long CLOSE_SECONDS = 5;
+
+    private final RelayBench bench = new RelayBench();
+    private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+
+    @AfterEach
+    void close() {
+        bench.close();
+        vertx.close().await();
+    }
+
+    private EndlessServer worker(String first, String repeated, Optional<LayerRange> layers) {
+        EndlessServer worker = new EndlessServer(vertx, unescaped(first), unescaped(repeated));
+        bench.announce("a-endless", worker.address(), layers);
+        return worker;
+    }
+
+    private static String unescaped(String text) {
+        return text.replace("HEAD", HEAD).replace("\\r", "\r").replace("\\n", "\n");
+    }
+
+    private static void assertClosed(EndlessServer worker) {
+        worker.closed().orTimeout(CLOSE_SECONDS, TimeUnit.SECONDS).join();
+    }
+
+    @Nested
+    class OfAPlainWorker {
+        @ParameterizedTest
+        @CsvSource({
+            "HTTP/1.1 200 OK\\r\\n, X-More: more\\r\\n",
+            "HEADTransfer-Encoding: chunked\\r\\n\\r\\n, 0",
+            "HEADTransfer-Encoding: chunked\\r\\n\\r\\n7fffffff\\r\\n, more",
+            "HEAD\\r\\n, more",
+            "HTTP/1.1 200, more"
+        })
+        void leaveTheCallInDoubtAndAreCutOff(String first, String repeated) {
+            EndlessServer worker = worker(first, repeated, Optional.empty());
+            assertThat(bench.call("/book/a", Map.of()).status(), equalTo(BAD_GATEWAY));
+            assertClosed(worker);
+        }
+
+        @Test
+        void doNotKeepARepeatableCallFromAnotherWorker() {
+            EndlessServer worker = worker("HEAD\\r\\n", "more", Optional.empty());
+            bench.service("b", r -> RelayBench.signed(r).end("found"));
+            RelayBench.Answer answer = bench.call("/look/a", Map.of());
+            assertThat(answer.status(), equalTo(OK));
+            assertThat(answer.body(), equalTo("found"));
+            assertClosed(worker);
+        }
+    }
+
+    @Nested
+    class OfAnEngine {
+        private static final Optional<LayerRange> ALL = Optional.of(new LayerRange(0, 80));
+
+        @ParameterizedTest
+        @CsvSource({
+            "HTTP/1.1 200 OK\\r\\n, X-More: more\\r\\n",
+            "HEADTransfer-Encoding: chunked\\r\\n\\r\\n, 0",
+            "HEADTransfer-Encoding: chunked\\r\\n\\r\\n7fffffff\\r\\n, data: more\\n",
+            "HEAD\\r\\n, more",
+            "HEAD\\r\\n, : comment\\n"
+        })
+        void endTheStreamVisiblyAndAreCutOff(String first, String repeated) {
+            EndlessServer worker = worker(first, repeated, ALL);
+            assertThat(bench.call("/write/a", Map.of()).status(), equalTo(BAD_GATEWAY));
+            assertClosed(worker);
+        }
+
+        @Test
+        void doNotKeepTheStreamFromAnotherEngine() {
+            EndlessServer worker = worker("HEAD\\r\\n", "more", ALL);
+            bench.engine("b", r -> RelayBench.signed(r).setChunked(true).end("id: 0\ndata: t\n\n"));
+            RelayBench.Answer answer = bench.call("/write/a", Map.of());
+            while (!worker.closed().isDone()) {
+                answer = bench.call("/write/a", Map.of());
+            }
+            assertThat(answer.status(), equalTo(OK));
+            assertThat(answer.whole(), equalTo(true));
+        }
+
+        @Test
+        void toAQuestionEndIt() {
+            EndlessServer worker = worker("HTTP/1.1 200 OK\\r\\n\\r\\n", "more", ALL);
+            HttpCalls calls =
+                    new HttpCalls(
+                            vertx.createHttpClient(),
+                            new VirtualClock(0),
+                            new SimpleMeterRegistry(),
+                            "engine");
+            CompletionException failure =
+                    assertThrows(
+                            CompletionException.class,
+                            () -> new HttpEngineControl(calls).stalled(worker.address()).join());
+            assertThat(failure.getCause(), instanceOf(InDoubtException.class));
+            assertClosed(worker);
+        }
+    }
+}
--- a/src/test/java/hyssopturn/platform/RelayBench.java
+++ b/src/test/java/hyssopturn/platform/RelayBench.java
@@ -128,7 +128,7 @@
                 new Relay(
                         parts,
                         new HttpEngineControl(
-                                new HttpCalls(client, new SimpleMeterRegistry(), "engine")));
+                                new HttpCalls(client, clock, new SimpleMeterRegistry(), "engine")));
         relay.start();
         HttpServer server = vertx.createHttpServer().requestHandler(relay::handle);
         port = server.listen(0, HOST).await().actualPort();
@@ -167,25 +167,21 @@
 
     /** Starts a worker that holds every layer. */
     void engine(String id, Handler<HttpServerRequest> handler) {
-        start(id, "writers", "k", Optional.of(new LayerRange(0, 80)), handler);
+        start(id, Optional.of(new LayerRange(0, 80)), handler);
     }
 
     /** Starts a worker that holds some layers; returns where it listens. */
     Address engine(String id, int from, int to, Handler<HttpServerRequest> handler) {
-        return start(id, "writers", "k", Optional.of(new LayerRange(from, to)), handler);
+        return start(id, Optional.of(new LayerRange(from, to)), handler);
     }
 
     /** Starts a worker of the plain service. */
     void service(String id, Handler<HttpServerRequest> handler) {
-        start(id, "records", "", Optional.empty(), handler);
+        start(id, Optional.empty(), handler);
     }
 
     private Address start(
-            String id,
-            String service,
-            String kind,
-            Optional<LayerRange> layers,
-            Handler<HttpServerRequest> handler) {
+            String id, Optional<LayerRange> layers, Handler<HttpServerRequest> handler) {
         HttpServer server =
                 vertx.createHttpServer()
                         .requestHandler(
@@ -193,22 +189,27 @@
                                     ids.add(r.getHeader("Hyssopturn-Attempt-Id"));
                                     handler.handle(r);
                                 });
-        int bound = server.listen(0, HOST).await().actualPort();
+        Address address = new Address(HOST, server.listen(0, HOST).await().actualPort());
+        announce(id, address, layers);
+        return address;
+    }
+
+    /** Announces a worker that another server plays; an empty range is one of the plain service. */
+    void announce(String id, Address address, Optional<LayerRange> layers) {
         Endpoint endpoint =
                 new Endpoint(
                         new InstanceId(id),
-                        service,
-                        new Address(HOST, bound),
+                        layers.isPresent() ? "writers" : "records",
+                        address,
                         "a",
                         6,
                         false,
-                        kind,
+                        layers.isPresent() ? "k" : "",
                         layers,
                         1,
                         1);
         announced.put(id, endpoint);
         onLoop(() -> knowledge.roster().announce(endpoint, 0));
-        return endpoint.address();
     }
 
     private void onLoop(Runnable task) {
--- a/src/test/java/hyssopturn/platform/StoreTest.java
+++ b/src/test/java/hyssopturn/platform/StoreTest.java
@@ -15,6 +15,7 @@
 import hyssopturn.port.KeyedLog;
 import hyssopturn.port.RefusedException;
 import hyssopturn.port.TrimmedException;
+import hyssopturn.standin.VirtualClock;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.vertx.core.Handler;
@@ -60,7 +61,11 @@
                         .actualPort();
         store =
                 new Store(
-                        new HttpCalls(vertx.createHttpClient(), new SimpleMeterRegistry(), "store"),
+                        new HttpCalls(
+                                vertx.createHttpClient(),
+                                new VirtualClock(0),
+                                new SimpleMeterRegistry(),
+                                "store"),
                         new Address(HOST, port));
     }
 
