A request that an engine lets wait counts the engine as full and goes on elsewhere in time

Cause: an engine whose memory is full refuses only behind the first place of a chain. At the first place it lets requests wait in its queue, says nothing, and nothing named it.

Change: an engine at which a first event is overdue counts as full for new requests, and after 1.2 s the request goes on at another chain within one zone if there is one and the budget allows.

Test: RelayFaultsTest.aRequestThatAnEngineLetsWaitGoesOnAtAnotherBeforeItsCallerGivesUp.

--- a/src/main/java/hyssopturn/relay/StallWatch.java
+++ b/src/main/java/hyssopturn/relay/StallWatch.java
@@ -66,6 +66,7 @@
 
     private void look(long now) {
         List.copyOf(streams).forEach(stream -> check(stream, now));
+        List.copyOf(streams).forEach(stream -> stream.endWait(now));
         Map<Endpoint, List<StreamCall>> quiet = new HashMap<>();
         for (StreamCall stream : streams) {
             if (stream.quiet(now)) {
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -29,6 +29,12 @@
  * on after the last event that the caller has, within the same answer.
  */
 final class StreamCall extends Call {
+    /** Time without a first event after which another chain is tried; callers leave after 2 s. */
+    private static final Duration FIRST_EVENT_LIMIT = Duration.ofMillis(1_200);
+
+    /** How often it is looked for another chain while the first event is overdue. */
+    private static final Duration WAIT_CHECK_INTERVAL = Duration.ofMillis(200);
+
     private final EngineSpec spec;
     private final StallWatch watch;
     private final StreamProgress progress;
@@ -40,6 +46,7 @@
     private int generation;
     private long progressNanos;
     private long askedNanos = Long.MIN_VALUE;
+    private long nextWaitCheckNanos;
 
     StreamCall(
             RelayParts parts,
@@ -389,6 +396,28 @@
         return chain.isPresent() && nowNanos - since > limit.toNanos();
     }
 
+    /**
+     * Counts an engine at which a first event is overdue as full, and goes on elsewhere before the
+     * caller gives up. An engine whose memory is full refuses only behind the first place of a
+     * chain; at the first place it lets requests wait.
+     */
+    void endWait(long nowNanos) {
+        long waited = nowNanos - progressNanos;
+        if (progress.delivered() || waited < parts.settings().firstEventStall().toNanos()) {
+            return;
+        }
+        Endpoint first = chain.orElseThrow().first().engine();
+        parts.load().refused(first.id(), nowNanos);
+        if (waited < FIRST_EVENT_LIMIT.toNanos() || nowNanos < nextWaitCheckNanos) {
+            return;
+        }
+        nextWaitCheckNanos = nowNanos + WAIT_CHECK_INTERVAL.toNanos();
+        if (mayGoOnInOneZone()) {
+            avoided.add(first.id());
+            recover("first event overdue");
+        }
+    }
+
     /** Tells whether an event is overdue so far that the engines should be looked after. */
     boolean late(long nowNanos) {
         Duration limit =
--- a/src/test/java/hyssopturn/platform/RelayFaultsTest.java
+++ b/src/test/java/hyssopturn/platform/RelayFaultsTest.java
@@ -126,6 +126,25 @@
         assertThat(refusals.get(), equalTo(1));
     }
 
+    @Test
+    void aRequestThatAnEngineLetsWaitGoesOnAtAnotherBeforeItsCallerGivesUp() {
+        AtomicInteger waiting = new AtomicInteger();
+        bench.engine(
+                "e1",
+                r -> {
+                    if (r.path().equals("/v1/report")) {
+                        r.response().end("{\"Stalled\":[]}");
+                    } else {
+                        waiting.incrementAndGet();
+                    }
+                });
+        bench.engine("e2", r -> RelayBench.signed(r).setChunked(true).end(events(0, 2)));
+        while (waiting.get() == 0) {
+            var answer = bench.call("/write/x", Map.of());
+            assertThat(answer.body(), equalTo(events(0, 2)));
+        }
+    }
+
     @Nested
     class StalledStreams {
         private final List<String> orders = Collections.synchronizedList(new ArrayList<>());
