Check engines at each stream's own pace, and let one node check and report for all

Change: a stream is overdue after two of its own usual gaps (asked about after four), a check holds good for 150 ms a node that shares the engine, and a fault is reported after up to 80 ms unless another node has reported it by then.

--- a/src/main/java/hyssopturn/chain/EngineLoad.java
+++ b/src/main/java/hyssopturn/chain/EngineLoad.java
@@ -51,6 +51,15 @@
         sharers = Math.max(1, nodes);
     }
 
+    /**
+     * Returns how many nodes share the engines of an availability zone.
+     *
+     * @return the number, this node included
+     */
+    public double sharers() {
+        return sharers;
+    }
+
     /**
      * Adds a request to every engine of a chain.
      *
--- a/src/main/java/hyssopturn/node/FaultBoard.java
+++ b/src/main/java/hyssopturn/node/FaultBoard.java
@@ -7,13 +7,18 @@
 import hyssopturn.fleet.Roster;
 import hyssopturn.helper.InvalidArgumentException;
 import hyssopturn.log.KeyedFollower;
+import hyssopturn.model.InstanceId;
 import hyssopturn.port.Clock;
 import hyssopturn.port.KeyedLog;
 import hyssopturn.port.PortException;
 import hyssopturn.trace.TraceEvent;
 import hyssopturn.trace.TraceLog;
 
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 
 /**
  * Passes on which engines failed, so that layers are placed anew before their entries lapse.
@@ -22,6 +27,11 @@
  * endpoint unreachable. Reports are hints; without them entries lapse some seconds later.
  */
 final class FaultBoard implements KeyedFollower.Listener, Consumer<Endpoint> {
+    /**
+     * Time within which nodes that notice a fault together report it; mostly the first one does.
+     */
+    private static final Duration SPREAD = Duration.ofMillis(80);
+
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
     private final KeyedLog log;
@@ -29,8 +39,17 @@
     private final Clock clock;
     private final TraceLog trace;
     private final String node;
+    private final RandomGenerator random;
+    private final Map<InstanceId, Long> told = new HashMap<>();
 
-    FaultBoard(KeyedLog log, Roster roster, Clock clock, TraceLog trace, String node) {
+    FaultBoard(
+            KeyedLog log,
+            Roster roster,
+            Clock clock,
+            TraceLog trace,
+            String node,
+            RandomGenerator random) {
+        this.random = random;
         this.log = log;
         this.roster = roster;
         this.clock = clock;
@@ -38,9 +57,21 @@
         this.node = node;
     }
 
-    /** Reports an engine. */
+    /** Reports an engine, unless another node does in the next moment. */
     @Override
     public void accept(Endpoint engine) {
+        told.values().removeIf(at -> clock.nanos() - at > Roster.SUSPICION.toNanos());
+        Duration delay = Duration.ofNanos(random.nextLong(SPREAD.toNanos()));
+        clock.after(
+                delay,
+                () -> {
+                    if (told.putIfAbsent(engine.id(), clock.nanos()) == null) {
+                        report(engine);
+                    }
+                });
+    }
+
+    private void report(Endpoint engine) {
         FaultReport report = new FaultReport(engine.id(), engine.incarnation(), node);
         log.append(FaultReport.STREAM, engine.id().value(), report.encode())
                 .exceptionally(
@@ -66,6 +97,7 @@
         try {
             FaultReport report = FaultReport.decode(entry.key(), entry.value().orElseThrow());
             long now = clock.nanos();
+            told.put(report.endpoint(), now);
             if (roster.suspect(report.endpoint(), report.incarnation(), now)) {
                 trace.record(
                         new TraceEvent.EndpointChanged(
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -119,7 +119,8 @@
                         clock,
                         meters);
         FaultBoard faultBoard =
-                new FaultBoard(adapter.log(), knowledge.roster(), clock, trace, platform.node());
+                new FaultBoard(
+                        adapter.log(), knowledge.roster(), clock, trace, platform.node(), random);
         relay =
                 new Relay(
                         new RelayParts(
@@ -139,31 +140,20 @@
                                 relaySettings(settings)),
                         adapter.engines());
         config =
-                new KeyedFollower(
-                        adapter.log(),
+                follower(
+                        adapter,
                         adapter.configStream(),
-                        new KeyedFollower.Pacing(
-                                platform.settled().minus(READ_LOST), Duration.ZERO),
-                        clock,
-                        new Backoff(random, READ_AGAIN),
+                        platform.settled().minus(READ_LOST),
+                        Duration.ZERO,
                         new CatalogListener(knowledge, adapter::catalog, clock, trace));
         endpoints =
-                new KeyedFollower(
-                        adapter.log(),
+                follower(
+                        adapter,
                         adapter.endpointStream(),
-                        new KeyedFollower.Pacing(
-                                Duration.ZERO, platform.leaveNotice().dividedBy(2)),
-                        clock,
-                        new Backoff(random, READ_AGAIN),
+                        Duration.ZERO,
+                        platform.leaveNotice().dividedBy(2),
                         new RosterListener(knowledge.roster(), adapter::endpoint, clock, trace));
-        faults =
-                new KeyedFollower(
-                        adapter.log(),
-                        FaultReport.STREAM,
-                        new KeyedFollower.Pacing(FAULT_WAIT, FAULT_PAUSE),
-                        clock,
-                        new Backoff(random),
-                        faultBoard);
+        faults = follower(adapter, FaultReport.STREAM, FAULT_WAIT, FAULT_PAUSE, faultBoard);
         layers =
                 new LayerController(
                         knowledge::catalog,
@@ -175,6 +165,21 @@
                         this::dealt);
     }
 
+    private KeyedFollower follower(
+            PlatformAdapter adapter,
+            String stream,
+            Duration patience,
+            Duration pause,
+            KeyedFollower.Listener listener) {
+        return new KeyedFollower(
+                adapter.log(),
+                stream,
+                new KeyedFollower.Pacing(patience, pause),
+                clock,
+                new Backoff(new SplittableRandom(), READ_AGAIN),
+                listener);
+    }
+
     private RetryAllowance retries(RelayNodeSettings settings) {
         return new RetryAllowance(
                 platform.retryRatio(),
--- a/src/main/java/hyssopturn/relay/StallWatch.java
+++ b/src/main/java/hyssopturn/relay/StallWatch.java
@@ -34,12 +34,13 @@
     private final RelayParts parts;
     private final EngineControl engines;
     private final Set<StreamCall> streams = new LinkedHashSet<>();
-    private final CheckPacing checks = new CheckPacing();
+    private final CheckPacing checks;
     private long noneDepartedNanos = Long.MIN_VALUE;
 
     StallWatch(RelayParts parts, EngineControl engines) {
         this.parts = parts;
         this.engines = engines;
+        checks = new CheckPacing(parts.load()::sharers);
     }
 
     void start() {
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -32,12 +32,19 @@
     /** Time without a first event after which another chain is tried; callers leave after 2 s. */
     private static final Duration FIRST_EVENT_LIMIT = Duration.ofMillis(1_200);
 
+    /** Usual times between events after which the engines of a stream are checked for life. */
+    private static final double LATE_GAPS = 2;
+
+    /** Usual times between events after which the first engine is asked why none comes. */
+    private static final double QUIET_GAPS = 4;
+
     /** How often it is looked for another chain while the first event is overdue. */
     private static final Duration WAIT_CHECK_INTERVAL = Duration.ofMillis(200);
 
     private final EngineSpec spec;
     private final StallWatch watch;
     private final StreamProgress progress;
+    private final StreamPace pace = new StreamPace();
     private final ChainSearch.Size size;
     private final Set<InstanceId> avoided = new HashSet<>();
     private Optional<EngineChain> chain = Optional.empty();
@@ -230,7 +237,11 @@
             return;
         }
         part();
-        progressNanos = now();
+        long now = now();
+        if (response.headWritten()) {
+            pace.gap(now - progressNanos);
+        }
+        progressNanos = now;
         writeHead(answer);
         response.write(ready);
         if (response.writeQueueFull()) {
@@ -388,12 +399,12 @@
 
     /** Tells whether the first engine should be asked why no event comes. */
     boolean quiet(long nowNanos) {
-        Duration limit =
+        Duration least =
                 progress.delivered()
                         ? parts.settings().gapStall()
                         : parts.settings().firstEventStall();
         long since = Math.max(progressNanos, askedNanos);
-        return chain.isPresent() && nowNanos - since > limit.toNanos();
+        return chain.isPresent() && pace.overdue(nowNanos - since, least, QUIET_GAPS);
     }
 
     /**
@@ -420,11 +431,11 @@
 
     /** Tells whether an event is overdue so far that the engines should be looked after. */
     boolean late(long nowNanos) {
-        Duration limit =
+        Duration least =
                 progress.delivered()
                         ? parts.settings().gapCheck()
                         : parts.settings().firstEventCheck();
-        return chain.isPresent() && nowNanos - progressNanos > limit.toNanos();
+        return chain.isPresent() && pace.overdue(nowNanos - progressNanos, least, LATE_GAPS);
     }
 
     /** Finds an engine of the chain that is under suspicion. */
--- /dev/null
+++ b/src/test/java/hyssopturn/node/FaultBoardTest.java
@@ -0,0 +1,94 @@
+package hyssopturn.node;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.lessThan;
+
+import hyssopturn.fleet.Endpoint;
+import hyssopturn.fleet.Roster;
+import hyssopturn.model.Address;
+import hyssopturn.model.Bytes;
+import hyssopturn.model.InstanceId;
+import hyssopturn.port.KeyedLog;
+import hyssopturn.standin.VirtualClock;
+import hyssopturn.trace.TraceLog;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import java.io.OutputStream;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+
+class FaultBoardTest {
+    private static final int NODES = 73;
+
+    /** Time until a record of the log has reached every node. */
+    private static final Duration LOG_DELAY = Duration.ofMillis(10);
+
+    private static final Endpoint ENGINE =
+            new Endpoint(
+                    new InstanceId("e1"),
+                    "writers",
+                    new Address("10.0.0.1", 80),
+                    "a",
+                    1,
+                    false,
+                    "k",
+                    Optional.empty(),
+                    1,
+                    1);
+
+    private final VirtualClock clock = new VirtualClock(0);
+    private final TraceLog trace = new TraceLog("n", clock, OutputStream.nullOutputStream(), 1_000);
+    private final List<FaultBoard> boards = new ArrayList<>();
+    private int appends;
+
+    /** A log that passes each record on to all boards. */
+    private final class SharedLog implements KeyedLog {
+        @Override
+        public CompletableFuture<Page> newest(String stream) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Page> read(String stream, long from, Duration wait) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Void> append(String stream, String key, Bytes value) {
+            appends++;
+            Page page = new Page(List.of(new Entry(key, Optional.of(value), appends)), appends);
+            clock.after(LOG_DELAY, () -> boards.forEach(b -> b.records(page)));
+            return CompletableFuture.completedFuture(null);
+        }
+    }
+
+    @AfterEach
+    void close() {
+        trace.close();
+    }
+
+    @Test
+    void aFaultThatAllNodesNoticeTogetherIsReportedByFewOfThem() {
+        for (int i = 0; i < NODES; i++) {
+            boards.add(
+                    new FaultBoard(
+                            new SharedLog(),
+                            new Roster(),
+                            clock,
+                            trace,
+                            "n" + i,
+                            new SplittableRandom(i)));
+        }
+        boards.forEach(b -> b.accept(ENGINE));
+        clock.advance(Duration.ofSeconds(1));
+        assertThat(appends, greaterThan(0));
+        assertThat(appends, lessThan(NODES / 4));
+    }
+}
--- a/src/test/java/hyssopturn/relay/CheckPacingTest.java
+++ b/src/test/java/hyssopturn/relay/CheckPacingTest.java
@@ -2,16 +2,19 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import hyssopturn.model.InstanceId;
 
 import org.junit.jupiter.api.Test;
 
+import java.time.Duration;
+
 class CheckPacingTest {
     private static final InstanceId A = new InstanceId("a");
     private static final InstanceId B = new InstanceId("b");
 
-    private final CheckPacing pacing = new CheckPacing();
+    private final CheckPacing pacing = new CheckPacing(() -> 1);
 
     @Test
     void anEngineIsCheckedOnceInAnIntervalHoweverOftenItIsDue() {
@@ -21,4 +24,18 @@
         assertThat(pacing.due(B, later - 1), is(true));
         assertThat(pacing.due(A, later), is(true));
     }
+
+    @Test
+    void checksOfAllNodesOfAZoneTogetherDoNotGrowWithTheirNumber() {
+        int nodes = 18;
+        int checks = 0;
+        for (int node = 0; node < nodes; node++) {
+            CheckPacing own = new CheckPacing(() -> nodes);
+            for (long millis = 0; millis < 10_000; millis += 20) {
+                checks += own.due(A, Duration.ofMillis(millis).toNanos()) ? 1 : 0;
+            }
+        }
+        int perSecond = 1_000 / (int) CheckPacing.INTERVAL_EACH.toMillis();
+        assertThat(checks, lessThanOrEqualTo(10 * perSecond + nodes));
+    }
 }
