Split the waits and the choice of chains off StreamCall

EventWait holds how long a stream has waited and what that shows, ChainFinder the choice of chains for one request. One change of behaviour: waits count for the chain in use, so a stream that went on at another chain is also moved if that one delivers nothing. Test: EventWaitTest.

--- a/src/main/java/hyssopturn/relay/StallWatch.java
+++ b/src/main/java/hyssopturn/relay/StallWatch.java
@@ -89,7 +89,7 @@
      */
     private void moveFromDeparting(long now) {
         for (StreamCall stream : List.copyOf(streams).reversed()) {
-            Optional<Endpoint> departing = stream.departing(now);
+            Optional<Endpoint> departing = stream.departing();
             if (departing.isPresent()) {
                 stream.avoidDeparting(departing.get(), engines);
                 noneDepartedNanos = Long.MIN_VALUE;
@@ -107,7 +107,7 @@
         if (!stream.late(now)) {
             return;
         }
-        Optional<Endpoint> suspect = stream.suspect(now);
+        Optional<Endpoint> suspect = stream.suspect();
         if (suspect.isPresent()) {
             stream.leave(suspect.get(), engines);
             return;
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -1,9 +1,7 @@
 package hyssopturn.relay;
 
 import hyssopturn.catalog.EngineSpec;
-import hyssopturn.chain.ChainSearch;
 import hyssopturn.chain.EngineChain;
-import hyssopturn.chain.Hop;
 import hyssopturn.fleet.Endpoint;
 import hyssopturn.model.InstanceId;
 import hyssopturn.port.EngineControl;
@@ -14,13 +12,10 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerRequest;
 
-import java.time.Duration;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Predicate;
 
 /**
  * A request whose answer is a stream of events from a chain of engines.
@@ -29,31 +24,15 @@
  * on after the last event that the caller has, within the same answer.
  */
 final class StreamCall extends Call {
-    /** Time without a first event after which another chain is tried; callers leave after 2 s. */
-    private static final Duration FIRST_EVENT_LIMIT = Duration.ofMillis(1_200);
-
-    /** Usual times between events after which the engines of a stream are checked for life. */
-    private static final double LATE_GAPS = 2;
-
-    /** Usual times between events after which the first engine is asked why none comes. */
-    private static final double QUIET_GAPS = 4;
-
-    /** How often it is looked for another chain while the first event is overdue. */
-    private static final Duration WAIT_CHECK_INTERVAL = Duration.ofMillis(200);
-
-    private final EngineSpec spec;
+    private final ChainFinder finder;
     private final StallWatch watch;
     private final StreamProgress progress;
-    private final StreamPace pace = new StreamPace();
-    private final ChainSearch.Size size;
+    private final EventWait wait;
     private final Set<InstanceId> avoided = new HashSet<>();
     private Optional<EngineChain> chain = Optional.empty();
     private Optional<InstanceId> fault = Optional.empty();
     private EventFramer framer = new EventFramer();
     private int generation;
-    private long progressNanos;
-    private long askedNanos = Long.MIN_VALUE;
-    private long nextWaitCheckNanos;
 
     StreamCall(
             RelayParts parts,
@@ -62,37 +41,25 @@
             EngineSpec spec,
             StallWatch watch) {
         super(parts, request, admitted);
-        this.spec = spec;
         this.watch = watch;
+        finder = new ChainFinder(parts, admitted.service(), spec, admitted.headers());
         progress = new StreamProgress(admitted.headers().resumeAfter());
-        size = size(admitted.headers(), spec);
-    }
-
-    /** Answers are rarely as long as they may be, so the guess or the usual length counts. */
-    private static ChainSearch.Size size(CallHeaders headers, EngineSpec spec) {
-        long expected =
-                headers.expectedTokens().orElse(Math.round(Math.ceil(spec.usualAnswerTokens())));
-        return new ChainSearch.Size(
-                headers.promptTokens(), Math.min(headers.answerTokens(), expected));
+        wait = new EventWait(parts.settings());
     }
 
     @Override
     void offer() {
         Optional<EngineChain> found =
-                chainFrom(e -> mayOffer(e) && !avoided.contains(e.id()), true)
-                        .or(() -> chainFrom(this::mayOffer, false));
-        if (found.isEmpty()) {
-            giveUp(failure("no chain"));
-            return;
-        }
-        if (!mayCross(found.get().crossings())) {
-            giveUp(failure("no chain within a zone"));
+                finder.withRoom(e -> mayOffer(e) && !avoided.contains(e.id()), excluded)
+                        .or(() -> finder.any(this::mayOffer, excluded));
+        if (found.isEmpty() || !finder.mayCross(found.get().crossings())) {
+            giveUp(failure(found.isEmpty() ? "no chain" : "no chain within a zone"));
             return;
         }
         chain = found;
-        parts.load().add(found.get(), size.tokens());
+        parts.load().add(found.get(), finder.tokens());
         framer = new EventFramer();
-        progressNanos = now();
+        wait.offered(now());
         int attempt = ++generation;
         Endpoint first = found.get().first().engine();
         boolean earlier = mayHaveRun();
@@ -102,24 +69,6 @@
                         r -> send(attempt, earlier, first, r), e -> unreachable(attempt, first, e));
     }
 
-    private Optional<EngineChain> chainFrom(Predicate<Endpoint> first, boolean withRoom) {
-        long now = now();
-        List<Endpoint> usable = parts.knowledge().roster().usable(admitted.service(), now);
-        if (withRoom) {
-            usable = usable.stream().filter(e -> !parts.load().full(e.id(), now)).toList();
-        }
-        Optional<EngineChain> found =
-                search(now).cheapest(usable, parts.settings().zone(), size, excluded, first);
-        parts.meters()
-                .timer("hyssopturn.chain.searches", "found", String.valueOf(found.isPresent()))
-                .record(Duration.ofNanos(now() - now));
-        return found;
-    }
-
-    private ChainSearch search(long now) {
-        return new ChainSearch(spec, parts.load(), parts.random(), now);
-    }
-
     private boolean stale(int attempt) {
         return ended() || attempt != generation;
     }
@@ -237,11 +186,7 @@
             return;
         }
         part();
-        long now = now();
-        if (response.headWritten()) {
-            pace.gap(now - progressNanos);
-        }
-        progressNanos = now;
+        wait.delivered(now());
         writeHead(answer);
         response.write(ready);
         if (response.writeQueueFull()) {
@@ -299,16 +244,14 @@
      */
     private boolean mayTake(EngineChain around) {
         int more = around.crossings() - chain.orElseThrow().crossings();
-        return more <= 0 || (!mayGoOnInOneZone() && mayCross(more));
-    }
-
-    private boolean mayCross(int crossings) {
-        return parts.pipes().take(crossings, size.promptTokens(), spec, now());
+        return more <= 0 || (!mayGoOnInOneZone() && finder.mayCross(more));
     }
 
     private boolean mayGoOnInOneZone() {
         return mayOfferAnew()
-                && chainFrom(this::mayOffer, true).filter(c -> c.crossings() == 0).isPresent();
+                && finder.withRoom(this::mayOffer, excluded)
+                        .filter(c -> c.crossings() == 0)
+                        .isPresent();
     }
 
     private void rerouted(int attempt, boolean done) {
@@ -350,13 +293,12 @@
     }
 
     private Optional<EngineChain> around(Endpoint engine) {
-        List<Endpoint> usable = parts.knowledge().roster().usable(admitted.service(), now());
-        return search(now()).around(chain.orElseThrow(), engine.id(), usable, size, excluded);
+        return finder.around(chain.orElseThrow(), engine, excluded);
     }
 
     private void follow(EngineChain other) {
-        parts.load().remove(chain.orElseThrow(), size.tokens());
-        parts.load().add(other, size.tokens());
+        parts.load().remove(chain.orElseThrow(), finder.tokens());
+        parts.load().add(other, finder.tokens());
         chain = Optional.of(other);
     }
 
@@ -370,12 +312,8 @@
     private CompletableFuture<Boolean> reroute(EngineChain other, EngineControl engines) {
         follow(other);
         Endpoint first = other.first().engine();
-        List<EngineControl.Hop> hops =
-                other.hops().stream()
-                        .map(h -> new EngineControl.Hop(h.engine().address(), h.range()))
-                        .toList();
-        asked(now());
-        return engines.reroute(first.address(), first.id(), id(), hops);
+        wait.asked(now());
+        return engines.reroute(first.address(), first.id(), id(), ChainFinder.path(other));
     }
 
     /** Leaves the present chain and goes on at another one. */
@@ -399,55 +337,34 @@
 
     /** Tells whether the first engine should be asked why no event comes. */
     boolean quiet(long nowNanos) {
-        Duration least =
-                progress.delivered()
-                        ? parts.settings().gapStall()
-                        : parts.settings().firstEventStall();
-        long since = Math.max(progressNanos, askedNanos);
-        return chain.isPresent() && pace.overdue(nowNanos - since, least, QUIET_GAPS);
+        return chain.isPresent() && wait.quiet(nowNanos);
     }
 
-    /**
-     * Counts an engine at which a first event is overdue as full, and goes on elsewhere before the
-     * caller gives up. An engine whose memory is full refuses only behind the first place of a
-     * chain; at the first place it lets requests wait.
-     */
+    /** Tells whether an event is overdue so far that the engines should be looked after. */
+    boolean late(long nowNanos) {
+        return chain.isPresent() && wait.late(nowNanos);
+    }
+
+    /** Counts an engine that lets the request wait as full, and goes on elsewhere in time. */
     void endWait(long nowNanos) {
-        long waited = nowNanos - progressNanos;
-        if (progress.delivered() || waited < parts.settings().firstEventStall().toNanos()) {
+        if (chain.isEmpty() || !wait.firstOverdue(nowNanos)) {
             return;
         }
-        Endpoint first = chain.orElseThrow().first().engine();
+        Endpoint first = chain.get().first().engine();
         parts.load().refused(first.id(), nowNanos);
-        if (waited < FIRST_EVENT_LIMIT.toNanos() || nowNanos < nextWaitCheckNanos) {
-            return;
-        }
-        nextWaitCheckNanos = nowNanos + WAIT_CHECK_INTERVAL.toNanos();
-        if (mayGoOnInOneZone()) {
+        if (wait.mustMove(nowNanos) && mayGoOnInOneZone()) {
             avoided.add(first.id());
             recover("first event overdue");
         }
     }
 
-    /** Tells whether an event is overdue so far that the engines should be looked after. */
-    boolean late(long nowNanos) {
-        Duration least =
-                progress.delivered()
-                        ? parts.settings().gapCheck()
-                        : parts.settings().firstEventCheck();
-        return chain.isPresent() && pace.overdue(nowNanos - progressNanos, least, LATE_GAPS);
-    }
-
     /** Finds an engine of the chain that is under suspicion. */
-    Optional<Endpoint> suspect(long nowNanos) {
-        return chain.orElseThrow().hops().stream()
-                .map(Hop::engine)
-                .filter(e -> parts.knowledge().roster().suspected(e, nowNanos))
-                .findFirst();
+    Optional<Endpoint> suspect() {
+        return finder.suspect(chain.orElseThrow());
     }
 
     void asked(long nowNanos) {
-        askedNanos = nowNanos;
+        wait.asked(nowNanos);
     }
 
     Optional<EngineChain> chain() {
@@ -455,16 +372,8 @@
     }
 
     /** Finds an engine behind the first one that is about to leave. */
-    Optional<Endpoint> departing(long nowNanos) {
-        if (chain.isEmpty() || !progress.delivered()) {
-            return Optional.empty();
-        }
-        return chain.get().hops().stream()
-                .skip(1)
-                .map(Hop::engine)
-                .filter(e -> !excluded.contains(e.id()))
-                .filter(e -> parts.knowledge().roster().departing(e, nowNanos))
-                .findFirst();
+    Optional<Endpoint> departing() {
+        return chain.filter(c -> wait.begun()).flatMap(c -> finder.departing(c, excluded));
     }
 
     boolean uses(InstanceId engine) {
@@ -477,7 +386,7 @@
 
     @Override
     void release() {
-        chain.ifPresent(c -> parts.load().remove(c, size.tokens()));
+        chain.ifPresent(c -> parts.load().remove(c, finder.tokens()));
         chain = Optional.empty();
         watch.remove(this);
     }
--- a/src/main/java/hyssopturn/relay/StreamProgress.java
+++ b/src/main/java/hyssopturn/relay/StreamProgress.java
@@ -5,7 +5,6 @@
 /** Which events of a stream the caller has; pure. */
 final class StreamProgress {
     private OptionalLong last;
-    private boolean delivered;
 
     /** Starts after the last event that the caller says it has. */
     StreamProgress(OptionalLong after) {
@@ -35,7 +34,6 @@
             return Step.GAP;
         }
         last = id;
-        delivered = true;
         return Step.DELIVER;
     }
 
@@ -43,9 +41,4 @@
     OptionalLong last() {
         return last;
     }
-
-    /** Tells whether this node has delivered an event. */
-    boolean delivered() {
-        return delivered;
-    }
 }
--- /dev/null
+++ b/src/test/java/hyssopturn/relay/EventWaitTest.java
@@ -0,0 +1,78 @@
+package hyssopturn.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import java.time.Duration;
+
+class EventWaitTest {
+    private static final RelaySettings SETTINGS =
+            new RelaySettings(
+                    "a",
+                    Duration.ofMillis(300),
+                    Duration.ofMillis(150),
+                    Duration.ofMillis(55),
+                    Duration.ofMillis(250),
+                    Duration.ofMillis(120),
+                    Duration.ofSeconds(1));
+
+    private final EventWait wait = new EventWait(SETTINGS);
+
+    private static long at(long millis) {
+        return Duration.ofMillis(millis).toNanos();
+    }
+
+    @Nested
+    class ForTheFirstEvent {
+        @Test
+        void isOverdueAtAnEngineThatLetsTheRequestWait() {
+            wait.offered(at(1_000));
+            assertThat(wait.firstOverdue(at(1_249)), is(false));
+            assertThat(wait.firstOverdue(at(1_250)), is(true));
+        }
+
+        @Test
+        void endsBeforeTheCallerGivesUpAndIsTriedAgainNowAndThen() {
+            wait.offered(0);
+            assertThat(wait.mustMove(at(1_199)), is(false));
+            assertThat(wait.mustMove(at(1_200)), is(true));
+            assertThat(wait.mustMove(at(1_399)), is(false));
+            assertThat(wait.mustMove(at(1_400)), is(true));
+        }
+
+        @Test
+        void beginsAnewAtTheNextChain() {
+            wait.offered(0);
+            wait.delivered(at(50));
+            wait.offered(at(2_000));
+            assertThat(wait.begun(), is(false));
+            assertThat(wait.mustMove(at(3_199)), is(false));
+            assertThat(wait.mustMove(at(3_200)), is(true));
+        }
+    }
+
+    @Nested
+    class ForAFurtherEvent {
+        @Test
+        void isNeverAWaitForTheFirstOne() {
+            wait.offered(0);
+            wait.delivered(at(50));
+            assertThat(wait.firstOverdue(at(5_000)), is(false));
+            assertThat(wait.mustMove(at(5_000)), is(false));
+        }
+
+        @Test
+        void isLateBeforeTheEngineIsAsked() {
+            wait.offered(0);
+            wait.delivered(at(50));
+            assertThat(wait.late(at(50 + 56)), is(true));
+            assertThat(wait.quiet(at(50 + 120)), is(false));
+            assertThat(wait.quiet(at(50 + 121)), is(true));
+            wait.asked(at(50 + 121));
+            assertThat(wait.quiet(at(50 + 200)), is(false));
+        }
+    }
+}
