A call of the selftest ends

The build of the platform runs the selftest, so it must not hang: one client serves all calls, and a call fails after 4 s, is counted as a failed try and repeated, as before.

--- a/src/main/java/hyssopturn/platform/StandinPlatform.java
+++ b/src/main/java/hyssopturn/platform/StandinPlatform.java
@@ -17,6 +17,7 @@
 import java.time.Duration;
 import java.util.Base64;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A small platform on loopback, on which a node can show that it serves: a store that keeps what it
@@ -48,13 +49,18 @@
              "Tenants":[{"Name":"selftest","ApiKeys":["selftest-key"]}]}
             """;
 
+    /** Longest time of a call; above the time that its request gives the node. */
+    private static final Duration CALL_LIMIT = Duration.ofSeconds(4);
+
     private final Vertx vertx;
+    private final HttpClient client;
     private final Address address;
     private Optional<JsonObject> order = Optional.empty();
 
     private StandinPlatform(Vertx vertx, Address address) {
         this.vertx = vertx;
         this.address = address;
+        client = vertx.createHttpClient(new HttpClientOptions().setKeepAlive(false));
     }
 
     /**
@@ -126,10 +132,9 @@
      *
      * @param front where the node listens
      * @param path path of the request, which chooses the route
-     * @return the answer
+     * @return the answer; fails if none comes in time
      */
     public Future<Answer> call(Address front, String path) {
-        HttpClient client = vertx.createHttpClient(new HttpClientOptions().setKeepAlive(false));
         return client.request(HttpMethod.POST, front.port(), front.host(), path)
                 .compose(
                         request ->
@@ -143,7 +148,7 @@
                         response ->
                                 response.body()
                                         .map(b -> new Answer(response.statusCode(), b.toString())))
-                .eventually(client::close);
+                .timeout(CALL_LIMIT.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     /**
