--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -50,6 +50,9 @@
     /** Time to find out that a read was lost and to read again. */
     private static final Duration READ_LOST = Duration.ofSeconds(1);
 
+    /** Least time from one read of a stream to the next, however short the platform's bounds. */
+    private static final Duration LEAST_PAUSE = Duration.ofMillis(250);
+
     private static final Duration DRAIN_TICK = Duration.ofMillis(50);
 
     /** Time without a byte after which a caller's connection ends; above any route's timeout. */
@@ -143,7 +146,7 @@
                 follower(
                         adapter,
                         adapter.configStream(),
-                        platform.settled().minus(READ_LOST),
+                        longer(platform.settled().minus(READ_LOST), LEAST_PAUSE),
                         Duration.ZERO,
                         new CatalogListener(knowledge, adapter::catalog, clock, trace));
         endpoints =
@@ -151,7 +154,7 @@
                         adapter,
                         adapter.endpointStream(),
                         Duration.ZERO,
-                        platform.leaveNotice().dividedBy(2),
+                        longer(platform.leaveNotice().dividedBy(2), LEAST_PAUSE),
                         new RosterListener(knowledge.roster(), adapter::endpoint, clock, trace));
         faults = follower(adapter, FaultReport.STREAM, FAULT_WAIT, FAULT_PAUSE, faultBoard);
         layers =
@@ -165,6 +168,10 @@
                         this::dealt);
     }
 
+    private static Duration longer(Duration a, Duration b) {
+        return a.compareTo(b) > 0 ? a : b;
+    }
+
     private KeyedFollower follower(
             PlatformAdapter adapter,
             String stream,
