--- a/src/main/java/hyssopturn/chain/PipeShare.java
+++ b/src/main/java/hyssopturn/chain/PipeShare.java
@@ -61,13 +61,16 @@
      * @return true if the chain may be used, and its time is taken
      */
     public boolean take(int crossings, long promptTokens, EngineSpec spec, long nowNanos) {
+        if (crossings <= 0) {
+            return true;
+        }
         double passed = (nowNanos - sinceNanos) / MILLI_NANOS;
         leftMillis = Math.min(mostMillis(), leftMillis + passed / nodes);
         sinceNanos = nowNanos;
         if (leftMillis <= 0) {
-            return crossings <= 0;
+            return false;
         }
-        leftMillis -= Math.max(0, crossings) * transferMillis(promptTokens, spec);
+        leftMillis -= crossings * transferMillis(promptTokens, spec);
         return true;
     }
 
--- a/src/main/java/hyssopturn/platform/GroupDuties.java
+++ b/src/main/java/hyssopturn/platform/GroupDuties.java
@@ -22,7 +22,10 @@
     private static final String GROUP = "hyssopturn-duties";
     private static final int PLACEMENT = 0;
 
-    /** Topics of the group; with their partitions more than nodes, so that each holds some. */
+    /**
+     * Topics of the group. A node that holds no partition, as there are more nodes, takes them to
+     * be as many as partitions.
+     */
     private static final int TOPICS = 16;
 
     private final Store store;
--- a/src/main/java/hyssopturn/relay/CheckPacing.java
+++ b/src/main/java/hyssopturn/relay/CheckPacing.java
@@ -38,9 +38,8 @@
 
     /** Tells whether an engine should be checked now, and counts it as checked if so. */
     boolean due(InstanceId engine, long nowNanos) {
-        double shared = INTERVAL_EACH.toMillis() * sharers.getAsDouble();
-        double millis = Math.max((double) INTERVAL.toMillis(), shared);
-        long holds = Duration.ofMillis((long) millis).toNanos();
+        double shared = INTERVAL_EACH.toNanos() * sharers.getAsDouble();
+        double holds = Math.max((double) INTERVAL.toNanos(), shared);
         checkedNanos.values().removeIf(at -> nowNanos - at >= holds);
         return checkedNanos.putIfAbsent(engine, nowNanos) == null;
     }
--- a/src/main/java/hyssopturn/relay/StallWatch.java
+++ b/src/main/java/hyssopturn/relay/StallWatch.java
@@ -35,7 +35,7 @@
     private final EngineControl engines;
     private final Set<StreamCall> streams = new LinkedHashSet<>();
     private final CheckPacing checks;
-    private long noneDepartedNanos = Long.MIN_VALUE;
+    private long nextDepartingNanos;
 
     StallWatch(RelayParts parts, EngineControl engines) {
         this.parts = parts;
@@ -77,8 +77,7 @@
             }
         }
         quiet.forEach(this::ask);
-        if (noneDepartedNanos == Long.MIN_VALUE
-                || now - noneDepartedNanos >= DEPARTING_INTERVAL.toNanos()) {
+        if (now >= nextDepartingNanos) {
             moveFromDeparting(now);
         }
     }
@@ -92,11 +91,10 @@
             Optional<Endpoint> departing = stream.departing();
             if (departing.isPresent()) {
                 stream.avoidDeparting(departing.get(), engines);
-                noneDepartedNanos = Long.MIN_VALUE;
                 return;
             }
         }
-        noneDepartedNanos = now;
+        nextDepartingNanos = now + DEPARTING_INTERVAL.toNanos();
     }
 
     /**
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -243,10 +243,14 @@
      * on at a chain of one zone is better then.
      */
     private boolean mayTake(EngineChain around) {
-        int more = around.crossings() - chain.orElseThrow().crossings();
+        int more = moreCrossings(around);
         return more <= 0 || (!mayGoOnInOneZone() && finder.mayCross(more));
     }
 
+    private int moreCrossings(EngineChain other) {
+        return other.crossings() - chain.orElseThrow().crossings();
+    }
+
     private boolean mayGoOnInOneZone() {
         return mayOfferAnew()
                 && finder.withRoom(this::mayOffer, excluded)
@@ -273,7 +277,7 @@
             return;
         }
         Optional<EngineChain> around = around(engine);
-        if (around.isEmpty() || around.get().crossings() > chain.orElseThrow().crossings()) {
+        if (around.isEmpty() || moreCrossings(around.get()) > 0) {
             return;
         }
         int attempt = generation;
