Silence counts only beside a reference that answers; reports of other nodes are checked

The event loop is on time, so LoopLag does not help (the issue's first hypothesis, refuted). All other nodes then believed the reports without limit.

Change: a probe that times out is retried together with a connection to another endpoint; if that is silent too, the probe shows nothing. A timeout of a request's own connection, and a query without an answer, are checked the same way.

--- a/src/main/java/hyssopturn/fleet/Roster.java
+++ b/src/main/java/hyssopturn/fleet/Roster.java
@@ -16,7 +16,7 @@
  * The endpoints of the platform's list, and which of them are usable now.
  *
  * <p>An endpoint is usable while the platform lists it, it has not announced that it is leaving,
- * and no request has found it unreachable since its last heartbeat. While the platform's list
+ * and it is not suspected of having failed since its last heartbeat. While the platform's list
  * cannot be read, and for a short time afterwards, an endpoint whose entry is removed stays usable:
  * its heartbeats may have been lost although the endpoint is alive. Not thread-safe; owned by one
  * event loop.
@@ -30,6 +30,9 @@
     /** Least time that an endpoint is not used after it was found unreachable. */
     public static final Duration MIN_SUSPICION = Duration.ofMillis(1_500);
 
+    /** How long a report of another node excludes an endpoint unless this node confirms it. */
+    public static final Duration REPORT_VALIDITY = Duration.ofSeconds(1);
+
     /** Time under suspicion after which other endpoints should replace an endpoint. */
     public static final Duration LOST_AFTER = Duration.ofMillis(300);
 
@@ -39,11 +42,21 @@
     /** Creates an empty roster. */
     public Roster() {}
 
+    /** Suspicion that an endpoint has failed, with the times of its first and latest evidence. */
+    private record Suspicion(Evidence evidence, long sinceNanos, long latestNanos) {
+        boolean active(long lastHeartbeatNanos, long nowNanos) {
+            if (evidence == Evidence.REPORT) {
+                return nowNanos - latestNanos < REPORT_VALIDITY.toNanos();
+            }
+            return nowNanos - latestNanos < MIN_SUSPICION.toNanos()
+                    || lastHeartbeatNanos - latestNanos < MIN_SUSPICION.toNanos() / 2;
+        }
+    }
+
     private static final class Entry {
         private Endpoint endpoint;
         private long lastHeartbeatNanos;
-        private Optional<Long> suspectedNanos = Optional.empty();
-        private long suspectedSinceNanos;
+        private Optional<Suspicion> suspicion = Optional.empty();
         private Optional<Long> removedNanos = Optional.empty();
         private boolean leaving;
 
@@ -126,24 +139,67 @@
     }
 
     /**
-     * Records that an endpoint did not answer.
+     * Records evidence that an endpoint has failed. A report changes nothing if this node has
+     * evidence of its own.
      *
      * @param id the endpoint
-     * @param incarnation incarnation that did not answer
+     * @param incarnation incarnation that seems to have failed
+     * @param evidence the evidence
      * @param nowNanos time now
-     * @return true if it was not under suspicion before
+     * @return true if it was not under suspicion before, or only because of a report
      */
-    public boolean suspect(InstanceId id, long incarnation, long nowNanos) {
+    public boolean suspect(InstanceId id, long incarnation, Evidence evidence, long nowNanos) {
         Entry entry = entries.get(id);
         if (entry == null || entry.endpoint.incarnation() != incarnation) {
             return false;
         }
-        boolean newlySuspected = !suspected(entry, nowNanos);
-        if (newlySuspected) {
-            entry.suspectedSinceNanos = nowNanos;
+        Optional<Suspicion> earlier = activeSuspicion(entry, nowNanos);
+        boolean reportedOnly = earlier.filter(s -> s.evidence == Evidence.REPORT).isPresent();
+        if (evidence == Evidence.REPORT && earlier.isPresent() && !reportedOnly) {
+            return false;
         }
-        entry.suspectedNanos = Optional.of(nowNanos);
-        return newlySuspected;
+        long sinceNanos = earlier.map(Suspicion::sinceNanos).orElse(nowNanos);
+        entry.suspicion = Optional.of(new Suspicion(evidence, sinceNanos, nowNanos));
+        return earlier.isEmpty() || (reportedOnly && evidence != Evidence.REPORT);
+    }
+
+    /**
+     * Records that an endpoint accepted a connection, which ends a suspicion unless the endpoint
+     * was found unresponsive.
+     *
+     * @param endpoint the endpoint
+     * @param nowNanos time now
+     * @return true if it was under suspicion and is not any more
+     */
+    public boolean clearSuspicion(Endpoint endpoint, long nowNanos) {
+        Entry entry = entries.get(endpoint.id());
+        if (entry == null || entry.endpoint.incarnation() != endpoint.incarnation()) {
+            return false;
+        }
+        boolean refuted =
+                activeSuspicion(entry, nowNanos)
+                        .filter(s -> s.evidence != Evidence.UNRESPONSIVE)
+                        .isPresent();
+        if (refuted) {
+            entry.suspicion = Optional.empty();
+        }
+        return refuted;
+    }
+
+    /**
+     * Lists the endpoints that are under suspicion only because of reports of other nodes.
+     *
+     * @param nowNanos time now
+     * @return the endpoints, in no particular order
+     */
+    public List<Endpoint> reported(long nowNanos) {
+        return list(e -> reportedOnly(e, nowNanos));
+    }
+
+    private static boolean reportedOnly(Entry entry, long nowNanos) {
+        return activeSuspicion(entry, nowNanos)
+                .filter(s -> s.evidence == Evidence.REPORT)
+                .isPresent();
     }
 
     /**
@@ -216,22 +272,24 @@
     }
 
     private static boolean suspected(Entry entry, long nowNanos) {
-        return entry.suspectedNanos
-                .filter(
-                        suspectedAt ->
-                                nowNanos - suspectedAt < MIN_SUSPICION.toNanos()
-                                        || entry.lastHeartbeatNanos - suspectedAt
-                                                < MIN_SUSPICION.toNanos() / 2)
-                .isPresent();
+        return activeSuspicion(entry, nowNanos).isPresent();
     }
 
-    private boolean usable(Entry entry, long nowNanos) {
-        if (entry.leaving || entry.endpoint.leaving() || suspected(entry, nowNanos)) {
+    private static Optional<Suspicion> activeSuspicion(Entry entry, long nowNanos) {
+        return entry.suspicion.filter(s -> s.active(entry.lastHeartbeatNanos, nowNanos));
+    }
+
+    private boolean present(Entry entry, long nowNanos) {
+        if (entry.leaving || entry.endpoint.leaving()) {
             return false;
         }
         return entry.removedNanos.isEmpty() || withinGrace(entry, nowNanos);
     }
 
+    private boolean usable(Entry entry, long nowNanos) {
+        return present(entry, nowNanos) && !suspected(entry, nowNanos);
+    }
+
     /**
      * Lists the usable endpoints of a service.
      *
@@ -243,6 +301,21 @@
         return list(e -> usable(e, nowNanos) && e.endpoint.service().equals(service));
     }
 
+    /**
+     * Lists the usable endpoints of a service together with those that only other nodes suspect.
+     *
+     * @param service name of the service
+     * @param nowNanos time now
+     * @return the endpoints, in no particular order
+     */
+    public List<Endpoint> usableOrReported(String service, long nowNanos) {
+        return list(
+                e ->
+                        e.endpoint.service().equals(service)
+                                && present(e, nowNanos)
+                                && (!suspected(e, nowNanos) || reportedOnly(e, nowNanos)));
+    }
+
     /**
      * Lists the endpoints of a service that are expected to continue: they are listed, are not
      * leaving, and have not been under suspicion for long.
@@ -261,8 +334,9 @@
     }
 
     private static boolean lost(Entry entry, long nowNanos) {
-        return suspected(entry, nowNanos)
-                && nowNanos - entry.suspectedSinceNanos > LOST_AFTER.toNanos();
+        return activeSuspicion(entry, nowNanos)
+                .filter(s -> nowNanos - s.sinceNanos > LOST_AFTER.toNanos())
+                .isPresent();
     }
 
     private List<Endpoint> list(Predicate<Entry> wanted) {
--- a/src/main/java/hyssopturn/node/ConnectProbe.java
+++ b/src/main/java/hyssopturn/node/ConnectProbe.java
@@ -1,6 +1,7 @@
 package hyssopturn.node;
 
 import hyssopturn.model.Address;
+import hyssopturn.port.Liveness;
 import hyssopturn.port.LivenessProbe;
 
 import io.netty.channel.ConnectTimeoutException;
@@ -11,11 +12,12 @@
 import io.vertx.core.net.NetSocket;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 /**
  * Liveness probe that opens a TCP connection. A timeout is retried once, so that a single lost
- * packet is not mistaken for a dead process.
+ * packet is not mistaken for a dead process; the reference is tried together with the retry.
  */
 final class ConnectProbe implements LivenessProbe {
     private final NetClient client;
@@ -33,15 +35,39 @@
     }
 
     @Override
-    public CompletableFuture<Boolean> listens(Address address) {
+    public CompletableFuture<Liveness> probe(Address address, Optional<Address> reference) {
         return connect(address)
-                .recover(error -> timedOut(error) ? connect(address) : Future.failedFuture(error))
-                .map(true)
-                .otherwise(false)
+                .map(Liveness.LISTENS)
+                .recover(
+                        error ->
+                                timedOut(error)
+                                        ? retry(address, reference)
+                                        : Future.succeededFuture(Liveness.FAILED))
                 .toCompletionStage()
                 .toCompletableFuture();
     }
 
+    private Future<Liveness> retry(Address address, Optional<Address> reference) {
+        Future<NetSocket> retried = connect(address);
+        Future<Boolean> networkWorks =
+                reference.map(this::answers).orElse(Future.succeededFuture(true));
+        return retried.map(Liveness.LISTENS)
+                .recover(
+                        error ->
+                                timedOut(error)
+                                        ? networkWorks.map(ConnectProbe::silent)
+                                        : Future.succeededFuture(Liveness.FAILED));
+    }
+
+    /** Returns whether an address accepts or refuses a connection before the timeout. */
+    private Future<Boolean> answers(Address address) {
+        return connect(address).map(true).otherwise(error -> !timedOut(error));
+    }
+
+    private static Liveness silent(boolean networkWorks) {
+        return networkWorks ? Liveness.FAILED : Liveness.UNKNOWN;
+    }
+
     private static boolean timedOut(Throwable error) {
         return error instanceof ConnectTimeoutException;
     }
--- a/src/main/java/hyssopturn/node/FaultReporter.java
+++ b/src/main/java/hyssopturn/node/FaultReporter.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 
 import hyssopturn.fleet.Endpoint;
+import hyssopturn.fleet.Evidence;
 import hyssopturn.fleet.FaultReport;
 import hyssopturn.fleet.Roster;
 import hyssopturn.helper.InvalidArgumentException;
@@ -24,9 +25,8 @@
  * Publishes reports of failed engines and applies those of other nodes, so that layers are placed
  * on other engines before the entries of the failed ones expire.
  *
- * <p>Only a failure that one engine reports about another is published, because a partitioned node
- * finds every endpoint unreachable. Reports are hints; without them the entries expire some seconds
- * later.
+ * <p>A report excludes an engine for a short time only; nodes that use the engine check it
+ * themselves. Without reports the entries of failed engines expire some seconds later.
  */
 final class FaultReporter implements KeyedFollower.Listener, Consumer<Endpoint> {
     /**
@@ -104,7 +104,7 @@
             FaultReport report = FaultReport.decode(entry.key(), entry.value().orElseThrow());
             long now = clock.nanos();
             reportedNanos.put(report.endpoint(), now);
-            if (roster.suspect(report.endpoint(), report.incarnation(), now)) {
+            if (roster.suspect(report.endpoint(), report.incarnation(), Evidence.REPORT, now)) {
                 trace.record(
                         new TraceEvent.EndpointChanged(
                                 entry.key(), "", "suspect", "", "told by " + report.reporter()));
--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -4,6 +4,7 @@
 import hyssopturn.catalog.Catalog;
 import hyssopturn.catalog.Route;
 import hyssopturn.fleet.Endpoint;
+import hyssopturn.fleet.Evidence;
 import hyssopturn.model.InstanceId;
 import hyssopturn.port.Clock;
 import hyssopturn.trace.TraceEvent;
@@ -44,6 +45,7 @@
     final HttpServerRequest request;
     final HttpServerResponse response;
     final Admitted admitted;
+    private final EndpointChecks checks;
     final Set<InstanceId> excluded = new HashSet<>();
     private final Set<InstanceId> attemptedEndpoints = new HashSet<>();
     private int attempts;
@@ -75,8 +77,13 @@
         }
     }
 
-    Call(RelayContext context, HttpServerRequest request, Admitted admitted) {
+    Call(
+            RelayContext context,
+            HttpServerRequest request,
+            Admitted admitted,
+            EndpointChecks checks) {
         this.context = context;
+        this.checks = checks;
         this.request = request;
         this.response = request.response();
         this.admitted = admitted;
@@ -181,17 +188,20 @@
     }
 
     /**
-     * Records that the connection to an endpoint failed, so nothing was sent. The endpoint is
-     * excluded, unless the connection timed out while this node's own event loop was delayed.
+     * Records that the connection to an endpoint failed, so nothing was sent. A refused connection
+     * shows that the endpoint has failed, a timeout is only a reason to check it.
      */
     final void connectFailed(Endpoint endpoint, Throwable error) {
         clearUpstream();
         attempts--;
         attemptedEndpoints.remove(endpoint.id());
-        if (!timedOut(error) || context.loopLag().onTime(now())) {
-            excluded.add(endpoint.id());
-            context.routingState().roster().suspect(endpoint.id(), endpoint.incarnation(), now());
+        excluded.add(endpoint.id());
+        if (!timedOut(error)) {
+            context.routingState()
+                    .roster()
+                    .suspect(endpoint.id(), endpoint.incarnation(), Evidence.UNREACHABLE, now());
         }
+        checks.check(endpoint);
     }
 
     private static boolean timedOut(Throwable error) {
--- a/src/main/java/hyssopturn/relay/ChainFinder.java
+++ b/src/main/java/hyssopturn/relay/ChainFinder.java
@@ -5,6 +5,7 @@
 import hyssopturn.chain.EngineChain;
 import hyssopturn.chain.Hop;
 import hyssopturn.fleet.Endpoint;
+import hyssopturn.fleet.Roster;
 import hyssopturn.model.InstanceId;
 import hyssopturn.port.EngineControl;
 
@@ -44,34 +45,48 @@
         return size.tokens();
     }
 
-    /** Finds a chain, which may include engines that refused a request recently. */
+    /**
+     * Finds a chain, which may include engines that refused a request recently and, if there is no
+     * other chain, engines that only other nodes suspect.
+     */
     Optional<EngineChain> findAny(Predicate<Endpoint> first, Set<InstanceId> excluded) {
-        return search(first, excluded, false);
+        return search(usable(), first, excluded)
+                .or(() -> search(roster().usableOrReported(service, now()), first, excluded));
     }
 
     /** Finds a chain of engines that have not refused a request recently. */
     Optional<EngineChain> findWithCapacity(Predicate<Endpoint> first, Set<InstanceId> excluded) {
-        return search(first, excluded, true);
+        long now = now();
+        List<Endpoint> withCapacity =
+                usable().stream()
+                        .filter(e -> !context.load().recentlyRefused(e.id(), now))
+                        .toList();
+        return search(withCapacity, first, excluded);
     }
 
     private Optional<EngineChain> search(
-            Predicate<Endpoint> first, Set<InstanceId> excluded, boolean withCapacity) {
-        long now = context.clock().nanos();
-        List<Endpoint> usable = context.routingState().roster().usable(service, now);
-        if (withCapacity) {
-            usable =
-                    usable.stream()
-                            .filter(e -> !context.load().recentlyRefused(e.id(), now))
-                            .toList();
-        }
+            List<Endpoint> engines, Predicate<Endpoint> first, Set<InstanceId> excluded) {
+        long now = now();
         Optional<EngineChain> found =
-                newSearch(now).cheapest(usable, context.settings().zone(), size, excluded, first);
+                newSearch(now).cheapest(engines, context.settings().zone(), size, excluded, first);
         context.meters()
                 .timer("hyssopturn.chain.searches", "found", String.valueOf(found.isPresent()))
-                .record(Duration.ofNanos(context.clock().nanos() - now));
+                .record(Duration.ofNanos(now() - now));
         return found;
     }
 
+    private long now() {
+        return context.clock().nanos();
+    }
+
+    private Roster roster() {
+        return context.routingState().roster();
+    }
+
+    private List<Endpoint> usable() {
+        return roster().usable(service, now());
+    }
+
     private ChainSearch newSearch(long now) {
         return new ChainSearch(spec, context.load(), context.random(), now);
     }
@@ -81,15 +96,12 @@
      */
     Optional<EngineChain> findDetour(
             EngineChain chain, Endpoint replaced, Set<InstanceId> excluded) {
-        long now = context.clock().nanos();
-        List<Endpoint> usable = context.routingState().roster().usable(service, now);
-        return newSearch(now).replaceEngine(chain, replaced.id(), usable, size, excluded);
+        return newSearch(now()).replaceEngine(chain, replaced.id(), usable(), size, excluded);
     }
 
     /** Reserves transfer time of the prompt on links between zones, from this node's share. */
     boolean reserveZoneLinks(int crossings) {
-        long now = context.clock().nanos();
-        return context.zoneLinks().tryAcquire(crossings, size.promptTokens(), spec, now);
+        return context.zoneLinks().tryAcquire(crossings, size.promptTokens(), spec, now());
     }
 
     /** Converts a chain to the form that is sent to engines. */
@@ -101,21 +113,21 @@
 
     /** Finds an engine of a chain that is suspected to have failed. */
     Optional<Endpoint> findSuspect(EngineChain chain) {
-        long now = context.clock().nanos();
+        long now = now();
         return chain.hops().stream()
                 .map(Hop::engine)
-                .filter(e -> context.routingState().roster().suspected(e, now))
+                .filter(e -> roster().suspected(e, now))
                 .findFirst();
     }
 
     /** Finds an engine behind the first one that is about to shut down. */
     Optional<Endpoint> findDeparting(EngineChain chain, Set<InstanceId> excluded) {
-        long now = context.clock().nanos();
+        long now = now();
         return chain.hops().stream()
                 .skip(1)
                 .map(Hop::engine)
                 .filter(e -> !excluded.contains(e.id()))
-                .filter(e -> context.routingState().roster().leavingOrGone(e, now))
+                .filter(e -> roster().leavingOrGone(e, now))
                 .findFirst();
     }
 }
--- a/src/main/java/hyssopturn/relay/CheckPacing.java
+++ b/src/main/java/hyssopturn/relay/CheckPacing.java
@@ -36,6 +36,11 @@
         this.sharers = sharers;
     }
 
+    /** Allows the next check of an engine at once, since the last one showed nothing. */
+    void forget(InstanceId engine) {
+        checkedNanos.remove(engine);
+    }
+
     /** Returns whether an engine should be checked now, and if so records the check. */
     boolean due(InstanceId engine, long nowNanos) {
         double sharedNanos = INTERVAL_PER_NODE.toNanos() * sharers.getAsDouble();
--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -24,8 +24,12 @@
     private Optional<Clock.Timer> slowTimer = Optional.empty();
 
     PlainCall(
-            RelayContext context, HttpServerRequest request, Admitted admitted, ServiceLoad load) {
-        super(context, request, admitted);
+            RelayContext context,
+            HttpServerRequest request,
+            Admitted admitted,
+            EndpointChecks checks,
+            ServiceLoad load) {
+        super(context, request, admitted, checks);
         this.load = load;
     }
 
--- a/src/main/java/hyssopturn/relay/Relay.java
+++ b/src/main/java/hyssopturn/relay/Relay.java
@@ -185,7 +185,8 @@
         Call call =
                 engine.isPresent()
                         ? new StreamCall(context, request, admitted, engine.get(), stallDetector)
-                        : new PlainCall(context, request, admitted, serviceLoad);
+                        : new PlainCall(
+                                context, request, admitted, stallDetector.checks(), serviceLoad);
         call.startAttempt();
     }
 
--- a/src/main/java/hyssopturn/relay/StallDetector.java
+++ b/src/main/java/hyssopturn/relay/StallDetector.java
@@ -2,6 +2,7 @@
 
 import hyssopturn.chain.Hop;
 import hyssopturn.fleet.Endpoint;
+import hyssopturn.fleet.Evidence;
 import hyssopturn.model.Address;
 import hyssopturn.port.EngineControl;
 import hyssopturn.trace.TraceEvent;
@@ -34,19 +35,23 @@
     private final RelayContext context;
     private final EngineControl engines;
     private final Set<StreamCall> streams = new LinkedHashSet<>();
-    private final CheckPacing checkPacing;
+    private final EndpointChecks checks;
     private long nextDepartingCheckNanos;
 
     StallDetector(RelayContext context, EngineControl engines) {
         this.context = context;
         this.engines = engines;
-        checkPacing = new CheckPacing(context.load()::nodesPerZone);
+        checks = new EndpointChecks(context, this::handleUnreachable);
     }
 
     void start() {
         tick();
     }
 
+    EndpointChecks checks() {
+        return checks;
+    }
+
     void add(StreamCall stream) {
         streams.add(stream);
     }
@@ -61,6 +66,7 @@
         long now = context.clock().nanos();
         context.loopLag().tick(now, interval);
         if (context.loopLag().onTime(now)) {
+            checks.checkReported();
             checkStreams(now);
         }
     }
@@ -112,24 +118,14 @@
             return;
         }
         for (Hop hop : stream.chain().orElseThrow().hops()) {
-            if (checkPacing.due(hop.engine().id(), now)) {
-                context.liveness()
-                        .listens(hop.engine().address())
-                        .thenAccept(listens -> handleCheck(hop.engine(), listens));
-            }
+            checks.checkPaced(hop.engine());
         }
     }
 
-    private void handleCheck(Endpoint engine, boolean listens) {
-        context.meters()
-                .counter("hyssopturn.engine.checks", "listens", String.valueOf(listens))
-                .increment();
-        if (listens || !onTime()) {
-            return;
-        }
-        List<StreamCall> waiting = streams.stream().filter(s -> s.uses(engine.id())).toList();
-        if (markSuspected(engine, waiting, "does not accept connections")) {
-            context.faultReports().accept(engine);
+    private void handleUnreachable(Endpoint endpoint) {
+        List<StreamCall> waiting = streams.stream().filter(s -> s.uses(endpoint.id())).toList();
+        if (markSuspected(endpoint, Evidence.UNREACHABLE, waiting, "does not accept connections")) {
+            context.faultReports().accept(endpoint);
         }
     }
 
@@ -137,16 +133,17 @@
         engines.stalled(first.address())
                 .whenComplete(
                         (waitsFor, error) -> {
-                            if (error != null && onTime()) {
-                                markSuspected(first, waiting, "no report");
-                            } else if (error == null) {
+                            if (error == null) {
                                 handleStallReport(first, waiting, waitsFor);
+                            } else {
+                                checks.checkUnanswered(
+                                        first, () -> markUnresponsive(first, waiting, "no report"));
                             }
                         });
     }
 
-    private boolean onTime() {
-        return context.loopLag().onTime(context.clock().nanos());
+    private boolean markUnresponsive(Endpoint engine, List<StreamCall> waiting, String cause) {
+        return markSuspected(engine, Evidence.UNRESPONSIVE, waiting, cause);
     }
 
     private void handleStallReport(
@@ -161,7 +158,7 @@
                     .findByAddress(failedEngine)
                     .ifPresent(
                             e -> {
-                                if (markSuspected(e, waiting, "named by " + first.id())) {
+                                if (markUnresponsive(e, waiting, "named by " + first.id())) {
                                     context.faultReports().accept(e);
                                 }
                             });
@@ -172,12 +169,15 @@
      * Marks an engine as suspected and replaces it in all streams; returns true if it was not
      * suspected before.
      */
-    private boolean markSuspected(Endpoint engine, List<StreamCall> waiting, String cause) {
+    private boolean markSuspected(
+            Endpoint engine, Evidence evidence, List<StreamCall> waiting, String cause) {
         List<String> requestIds = waiting.stream().map(StreamCall::id).toList();
         context.trace().record(new TraceEvent.Stalled(engine.id().value(), requestIds, cause));
         long now = context.clock().nanos();
         boolean newlySuspected =
-                context.routingState().roster().suspect(engine.id(), engine.incarnation(), now);
+                context.routingState()
+                        .roster()
+                        .suspect(engine.id(), engine.incarnation(), evidence, now);
         if (newlySuspected) {
             context.trace()
                     .record(
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -40,7 +40,7 @@
             Admitted admitted,
             EngineSpec spec,
             StallDetector stallDetector) {
-        super(context, request, admitted);
+        super(context, request, admitted, stallDetector.checks());
         this.stallDetector = stallDetector;
         chainFinder = new ChainFinder(context, admitted.service(), spec, admitted.headers());
         progress = new StreamProgress(admitted.headers().resumeAfter());
--- a/src/test/java/hyssopturn/fleet/RosterTest.java
+++ b/src/test/java/hyssopturn/fleet/RosterTest.java
@@ -70,7 +70,7 @@
     @Test
     void suspicionAppliesOnlyToTheIncarnationThatDidNotAnswer() {
         roster.announce(endpoint(false, 1, 1), at(0));
-        roster.suspect(ID, 1, at(100));
+        roster.suspect(ID, 1, Evidence.UNREACHABLE, at(100));
         assertThat(roster.suspected(endpoint(false, 1, 1), at(200)), is(true));
         roster.announce(endpoint(false, 2, 1), at(300));
         assertThat(roster.suspected(endpoint(false, 2, 1), at(300)), is(false));
@@ -153,7 +153,7 @@
         @Test
         void endsUseUntilALaterHeartbeat() {
             roster.announce(endpoint(false, 1, 1), at(0));
-            assertThat(roster.suspect(ID, 1, at(100)), is(true));
+            assertThat(roster.suspect(ID, 1, Evidence.UNREACHABLE, at(100)), is(true));
             assertThat(usable(200), empty());
             assertThat(usable(60_000), empty());
             roster.announce(endpoint(false, 1, 2), at(1_000));
@@ -164,15 +164,46 @@
         @Test
         void thatPersistsExcludesTheEndpointFromTheStableOnes() {
             roster.announce(endpoint(false, 1, 1), at(0));
-            roster.suspect(ID, 1, at(100));
+            roster.suspect(ID, 1, Evidence.UNREACHABLE, at(100));
             assertThat(roster.stable(SERVICE, at(200)), hasSize(1));
             assertThat(roster.stable(SERVICE, at(101 + Roster.LOST_AFTER.toMillis())), empty());
         }
 
+        @Test
+        void byAReportLapses() {
+            roster.announce(endpoint(false, 1, 1), at(0));
+            assertThat(roster.suspect(ID, 1, Evidence.REPORT, at(100)), is(true));
+            assertThat(usable(200), empty());
+            assertThat(roster.usableOrReported(SERVICE, at(200)), hasSize(1));
+            assertThat(usable(100 + Roster.REPORT_VALIDITY.toMillis()), hasSize(1));
+        }
+
+        @Test
+        void byAReportIsReplacedByEvidenceOfThisNode() {
+            roster.announce(endpoint(false, 1, 1), at(0));
+            roster.suspect(ID, 1, Evidence.REPORT, at(100));
+            assertThat(roster.suspect(ID, 1, Evidence.UNREACHABLE, at(200)), is(true));
+            assertThat(roster.suspect(ID, 1, Evidence.REPORT, at(300)), is(false));
+            assertThat(roster.reported(at(300)), empty());
+            assertThat(roster.usableOrReported(SERVICE, at(300)), empty());
+        }
+
+        @Test
+        void endsWhenAConnectionIsAcceptedUnlessTheEndpointIsUnresponsive() {
+            Endpoint endpoint = endpoint(false, 1, 1);
+            roster.announce(endpoint, at(0));
+            roster.suspect(ID, 1, Evidence.UNREACHABLE, at(100));
+            assertThat(roster.clearSuspicion(endpoint, at(200)), is(true));
+            assertThat(usable(200), hasSize(1));
+            roster.suspect(ID, 1, Evidence.UNRESPONSIVE, at(300));
+            assertThat(roster.clearSuspicion(endpoint, at(400)), is(false));
+            assertThat(usable(400), empty());
+        }
+
         @Test
         void doesNotApplyToTheNextIncarnation() {
             roster.announce(endpoint(false, 1, 1), at(0));
-            roster.suspect(ID, 1, at(100));
+            roster.suspect(ID, 1, Evidence.UNREACHABLE, at(100));
             roster.announce(endpoint(false, 2, 1), at(200));
             assertThat(usable(200), hasSize(1));
         }
--- a/src/test/java/hyssopturn/platform/RelayFaultsTest.java
+++ b/src/test/java/hyssopturn/platform/RelayFaultsTest.java
@@ -75,6 +75,15 @@
         assertThat(answer.complete(), is(true));
     }
 
+    @Test
+    void aRequestIsServedThoughOtherNodesReportTheLastHolderOfALayer() {
+        harness.engine("e1", 0, 40, r -> RelayHarness.signed(r).setChunked(true).end(events(0, 2)));
+        harness.engine("e2", 40, 80, r -> {});
+        harness.report("e1");
+        harness.report("e2");
+        assertThat(harness.call("/write/x", Map.of()).body(), equalTo(events(0, 2)));
+    }
+
     @Test
     void aRunningStreamIsReroutedOffALeavingEngine() {
         harness.engine("e1", 0, 40, this::stallUnreported);
--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -4,11 +4,13 @@
 import hyssopturn.chain.EngineLoad;
 import hyssopturn.chain.InterZoneBudget;
 import hyssopturn.fleet.Endpoint;
+import hyssopturn.fleet.Evidence;
 import hyssopturn.model.Address;
 import hyssopturn.model.Bytes;
 import hyssopturn.model.InstanceId;
 import hyssopturn.model.LayerRange;
 import hyssopturn.port.Clock;
+import hyssopturn.port.Liveness;
 import hyssopturn.relay.LoopLag;
 import hyssopturn.relay.Relay;
 import hyssopturn.relay.RelayContext;
@@ -37,13 +39,12 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Test harness: a relay on loopback between one caller and workers that are simulated by tests. */
@@ -83,9 +84,10 @@
     private final AtomicInteger requestCount = new AtomicInteger();
     private final TraceLog trace;
     private final int port;
-    private final Set<Address> failedProbes = Collections.synchronizedSet(new HashSet<>());
+    private final Map<Address, Liveness> failedProbes = new ConcurrentHashMap<>();
     private final Map<String, Endpoint> announced = new HashMap<>();
     private volatile Runnable onFirstEvent = () -> {};
+    private final long startNanos = System.nanoTime();
     private volatile long offsetNanos;
 
     /** An answer as the caller received it; complete unless the connection was cut off. */
@@ -113,8 +115,9 @@
                         new RetryBudget(0.2, Duration.ofSeconds(10).toNanos(), 100, 1),
                         new EngineLoad(new SplittableRandom(1), 10),
                         new InterZoneBudget(1),
-                        address ->
-                                CompletableFuture.completedFuture(!failedProbes.contains(address)),
+                        (address, reference) ->
+                                CompletableFuture.completedFuture(
+                                        failedProbes.getOrDefault(address, Liveness.LISTENS)),
                         new LoopLag(),
                         endpoint -> {},
                         trace,
@@ -138,11 +141,10 @@
     }
 
     private Clock clock() {
-        long start = System.nanoTime();
         return new Clock() {
             @Override
             public long nanos() {
-                return System.nanoTime() - start + offsetNanos;
+                return System.nanoTime() - startNanos + offsetNanos;
             }
 
             @Override
@@ -228,9 +230,23 @@
         done.join();
     }
 
+    /** Lets another node report a worker as failed. */
+    void report(String id) {
+        Endpoint endpoint = announced.get(id);
+        onLoop(
+                () ->
+                        knowledge
+                                .roster()
+                                .suspect(
+                                        endpoint.id(),
+                                        endpoint.incarnation(),
+                                        Evidence.REPORT,
+                                        System.nanoTime() - startNanos));
+    }
+
     /** Lets liveness probes of a worker fail. */
     void failProbes(Address worker) {
-        failedProbes.add(worker);
+        failedProbes.put(worker, Liveness.FAILED);
     }
 
     /** Runs a task when the caller receives the first bytes of an answer. */
