The node that places layers reads announcements more often; idle reads of reports wait longer

Cause: every node reads announcements each half of the time in which a leaving endpoint must be left (2 s on large/). And of the calls of an idle node to the log a fifth were reads of fault reports that ended without one.

Change: the holder of the placement duty reads each 0.4 s; the others as before. Reads of fault reports wait for 15 s instead of 5. A connection that falls silent may hide reports for that long; they are hints, the entries of lost engines expire after 3.6 s.

--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -41,8 +41,8 @@
     /** Maximum backoff, before jitter, between attempts to read a stream. */
     private static final Duration MAX_READ_BACKOFF = Duration.ofMillis(300);
 
-    /** Long-poll wait for fault reports; short, so that a dead connection is abandoned soon. */
-    private static final Duration FAULT_READ_WAIT = Duration.ofSeconds(5);
+    /** Long-poll wait for fault reports, and so how long a dead connection may hide them. */
+    private static final Duration FAULT_READ_WAIT = Duration.ofSeconds(15);
 
     /** Pause between reads of fault reports, since several nodes usually report the same fault. */
     private static final Duration FAULT_READ_PAUSE = Duration.ofMillis(100);
@@ -53,6 +53,12 @@
     /** Minimum interval between reads of a stream, however short the platform's bounds are. */
     private static final Duration MIN_READ_INTERVAL = Duration.ofMillis(250);
 
+    /**
+     * Interval between reads of the endpoints' announcements while this node places layers. Engines
+     * that start or fail wait for that node; the others learn of the result later anyway.
+     */
+    private static final Duration PLACEMENT_READ_INTERVAL = Duration.ofMillis(400);
+
     private static final Duration DRAIN_POLL_INTERVAL = Duration.ofMillis(50);
 
     /** Idle timeout of a caller's connection; longer than the timeout of any route. */
@@ -148,22 +154,23 @@
                 follower(
                         adapter,
                         adapter.configStream(),
-                        max(platform.catchUpLimit().minus(LOST_READ_MARGIN), MIN_READ_INTERVAL),
-                        Duration.ZERO,
+                        new KeyedFollower.Pacing(
+                                max(
+                                        platform.catchUpLimit().minus(LOST_READ_MARGIN),
+                                        MIN_READ_INTERVAL),
+                                Duration.ZERO),
                         new CatalogListener(knowledge, adapter::catalog, clock, trace));
         endpoints =
                 follower(
                         adapter,
                         adapter.endpointStream(),
-                        Duration.ZERO,
-                        max(platform.leaveNotice().dividedBy(2), MIN_READ_INTERVAL),
+                        endpointPacing(false),
                         new RosterListener(knowledge.roster(), adapter::endpoint, clock, trace));
         faults =
                 follower(
                         adapter,
                         FaultReport.STREAM,
-                        FAULT_READ_WAIT,
-                        FAULT_READ_PAUSE,
+                        new KeyedFollower.Pacing(FAULT_READ_WAIT, FAULT_READ_PAUSE),
                         faultReporter);
         layers =
                 new LayerController(
@@ -183,18 +190,26 @@
     private KeyedFollower follower(
             PlatformAdapter adapter,
             String stream,
-            Duration wait,
-            Duration pause,
+            KeyedFollower.Pacing pacing,
             KeyedFollower.Listener listener) {
         return new KeyedFollower(
                 adapter.log(),
                 stream,
-                new KeyedFollower.Pacing(wait, pause),
+                pacing,
                 clock,
                 new Backoff(new SplittableRandom(), MAX_READ_BACKOFF),
                 listener);
     }
 
+    private KeyedFollower.Pacing endpointPacing(boolean placing) {
+        Duration interval = max(platform.leaveNotice().dividedBy(2), MIN_READ_INTERVAL);
+        Duration pause =
+                placing && PLACEMENT_READ_INTERVAL.compareTo(interval) < 0
+                        ? PLACEMENT_READ_INTERVAL
+                        : interval;
+        return new KeyedFollower.Pacing(Duration.ZERO, pause);
+    }
+
     private RetryBudget retries(RelayNodeSettings settings) {
         return new RetryBudget(
                 platform.retryRatio(),
@@ -216,6 +231,7 @@
         retries.share(share);
         load.nodesPerZone(nodesInZone(assignment.nodes()));
         pipes.nodes(assignment.nodes());
+        endpoints.pacing(endpointPacing(assignment.placementToken().isPresent()));
     }
 
     private RelaySettings relaySettings(RelayNodeSettings settings) {
