Many listed endpoints share one log line

Change: more than eight endpoints that were listed, or hold other layers, since the last read stand in one line EndpointsListed. Endpoints that leave, go or are suspected keep a line each. explain shows the line for the engines of a request.

--- a/src/main/java/hyssopturn/node/RosterListener.java
+++ b/src/main/java/hyssopturn/node/RosterListener.java
@@ -10,7 +10,11 @@
 import hyssopturn.trace.TraceEvent;
 import hyssopturn.trace.TraceLog;
 
+import java.util.Collection;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
 
@@ -18,6 +22,9 @@
 final class RosterListener implements KeyedFollower.Listener {
     private static final String STREAM = "endpoint-stream";
 
+    /** Number of listed endpoints in one read above which they share one log line. */
+    static final int MAX_SINGLE_LINES = 8;
+
     private final Roster roster;
     private final Function<KeyedLog.Entry, Endpoint> decoder;
     private final Clock clock;
@@ -50,16 +57,18 @@
     @Override
     public void records(KeyedLog.Page page) {
         long now = clock.nanos();
+        Map<InstanceId, Endpoint> listed = new LinkedHashMap<>();
         for (KeyedLog.Entry entry : page.entries()) {
             if (entry.key().isBlank()) {
                 continue;
             }
             if (entry.value().isPresent()) {
-                announce(entry, now);
+                announce(entry, now).ifPresent(e -> listed.put(e.id(), e));
             } else if (roster.remove(new InstanceId(entry.key()), now)) {
                 recordChange(entry.key(), "", "gone", "", "entry removed");
             }
         }
+        recordListed(listed.values());
         roster.purge(now);
         if (lost) {
             lost = false;
@@ -67,20 +76,42 @@
         }
     }
 
-    private void announce(KeyedLog.Entry entry, long now) {
+    /** Applies an announcement; returns the endpoint if it was listed or has changed. */
+    private Optional<Endpoint> announce(KeyedLog.Entry entry, long now) {
         try {
             Endpoint endpoint = decoder.apply(entry);
-            if (roster.announce(endpoint, now)) {
+            boolean changed = roster.announce(endpoint, now);
+            if (changed && endpoint.leaving()) {
                 recordChange(
-                        entry.key(),
-                        endpoint.service(),
-                        endpoint.leaving() ? "leaving" : "listed",
-                        endpoint.layers().map(Object::toString).orElse(""),
-                        "announced");
+                        entry.key(), endpoint.service(), "leaving", layers(endpoint), "announced");
             }
+            return Optional.of(endpoint).filter(e -> changed && !e.leaving());
         } catch (IllegalArgumentException e) {
             trace.record(
                     new TraceEvent.Malformed(STREAM, entry.key(), entry.offset(), e.getMessage()));
+            return Optional.empty();
+        }
+    }
+
+    private static String layers(Endpoint endpoint) {
+        return endpoint.layers().map(Object::toString).orElse("");
+    }
+
+    private void recordListed(Collection<Endpoint> listed) {
+        if (listed.size() > MAX_SINGLE_LINES) {
+            trace.record(
+                    new TraceEvent.EndpointsListed(
+                            listed.stream().map(e -> e.id().value()).toList(),
+                            listed.stream().map(RosterListener::layers).toList()));
+            return;
+        }
+        for (Endpoint endpoint : listed) {
+            recordChange(
+                    endpoint.id().value(),
+                    endpoint.service(),
+                    "listed",
+                    layers(endpoint),
+                    "announced");
         }
     }
 
--- a/src/main/java/hyssopturn/trace/EventCounters.java
+++ b/src/main/java/hyssopturn/trace/EventCounters.java
@@ -36,6 +36,7 @@
             case TraceEvent.AttemptFailed e -> labels(e.cause(), e.next());
             case TraceEvent.Rerouted e -> labels(e.cause(), e.done() ? "done" : "refused");
             case TraceEvent.EndpointChanged e -> labels("", e.state());
+            case TraceEvent.EndpointsListed e -> labels("", "");
             case TraceEvent.Dependency e -> labels(e.name(), e.state());
             case TraceEvent.Ordered e ->
                     labels("", e.result().startsWith("no answer") ? "no answer" : e.result());
--- a/src/main/java/hyssopturn/trace/RequestTrace.java
+++ b/src/main/java/hyssopturn/trace/RequestTrace.java
@@ -111,14 +111,24 @@
             }
         }
         all.stream()
-                .filter(l -> l.path("event").asText().equals("EndpointChanged"))
                 .filter(l -> nodes.contains(l.path("node").asText()))
-                .filter(l -> endpoints.contains(l.path("endpoint").asText()))
+                .filter(l -> changesOneOf(endpoints, l))
                 .filter(l -> millis(l) >= first - CONTEXT_MILLIS && millis(l) <= last)
                 .forEach(context::add);
         return context;
     }
 
+    private static boolean changesOneOf(Set<String> endpoints, JsonNode line) {
+        return switch (line.path("event").asText()) {
+            case "EndpointChanged" -> endpoints.contains(line.path("endpoint").asText());
+            case "EndpointsListed" ->
+                    line.path("endpoints")
+                            .valueStream()
+                            .anyMatch(e -> endpoints.contains(e.asText()));
+            default -> false;
+        };
+    }
+
     private static long millis(JsonNode line) {
         return line.path("wall_ms").asLong();
     }
--- a/src/main/java/hyssopturn/trace/TraceEvent.java
+++ b/src/main/java/hyssopturn/trace/TraceEvent.java
@@ -69,6 +69,14 @@
             String endpoint, String service, String state, String layers, String cause)
             implements TraceEvent {}
 
+    /**
+     * Many endpoints were listed or changed their layers since the last read of their stream.
+     *
+     * @param endpoints the endpoints
+     * @param layers layers that each of them holds, in the same order; empty text if none
+     */
+    record EndpointsListed(List<String> endpoints, List<String> layers) implements TraceEvent {}
+
     /**
      * This node gained or lost the placement duty.
      *
--- a/src/test/java/hyssopturn/trace/RequestTraceTest.java
+++ b/src/test/java/hyssopturn/trace/RequestTraceTest.java
@@ -19,6 +19,8 @@
                     + "\"endpoint\":\"e1\",\"chain\":\"e1=0-4,e2=4-8\"}";
     private static final String SUSPECT =
             "{\"wall_ms\":1600,\"node\":\"n1\",\"event\":\"EndpointChanged\",\"endpoint\":\"e2\"}";
+    private static final String LISTED =
+            "{\"wall_ms\":1400,\"node\":\"n1\",\"event\":\"EndpointsListed\",\"endpoints\":[\"e9\",\"e2\"]}";
     private static final String UNUSED =
             "{\"wall_ms\":1600,\"node\":\"n1\",\"event\":\"EndpointChanged\",\"endpoint\":\"e9\"}";
     private static final String ENDED =
@@ -28,10 +30,17 @@
     @Test
     void holdsTheRequestsLinesAndTheStateBehindItsDecisions() {
         RequestTrace trace =
-                RequestTrace.of("r1", List.of(ENDED, OFFERED, UNUSED, SUSPECT, OTHER_NODE, CONFIG));
+                RequestTrace.of(
+                        "r1", List.of(ENDED, OFFERED, UNUSED, SUSPECT, LISTED, OTHER_NODE, CONFIG));
         assertThat(
                 trace.lines().stream().map(l -> l.path("event").asText()).toList(),
-                equalTo(List.of("ConfigInForce", "Offered", "EndpointChanged", "Ended")));
+                equalTo(
+                        List.of(
+                                "ConfigInForce",
+                                "EndpointsListed",
+                                "Offered",
+                                "EndpointChanged",
+                                "Ended")));
         assertThat(trace.summary(), containsString("engine stalled"));
     }
 
