Announcements that repeat the last one are not parsed

Nearly all differ from the endpoint's last one only in the sequence number.

Change: HeartbeatDecoder compares the bytes around that number with the last announcement that was parsed.

Test: HeartbeatDecoderTest reads random announcements, some with a random byte changed, as if each were the first.

--- a/src/main/java/hyssopturn/fleet/Endpoint.java
+++ b/src/main/java/hyssopturn/fleet/Endpoint.java
@@ -50,4 +50,15 @@
                 incarnation,
                 heartbeat);
     }
+
+    /**
+     * Returns a copy of the endpoint with another sequence number.
+     *
+     * @param sequence sequence number of the copy's announcement
+     * @return the copy
+     */
+    public Endpoint withHeartbeat(long sequence) {
+        return new Endpoint(
+                id, service, address, zone, slots, leaving, kind, layers, incarnation, sequence);
+    }
 }
--- a/src/main/java/hyssopturn/platform/PlatformAdapter.java
+++ b/src/main/java/hyssopturn/platform/PlatformAdapter.java
@@ -18,6 +18,7 @@
     private final LogStoreClient store;
     private final GroupDuties duties;
     private final HttpEngineControl engines;
+    private final HeartbeatDecoder announcements = new HeartbeatDecoder();
 
     /**
      * Creates an adapter.
@@ -122,7 +123,7 @@
      */
     public Endpoint endpoint(KeyedLog.Entry entry) {
         try {
-            return EndpointDecoder.decode(entry.key(), entry.value().orElseThrow());
+            return announcements.decode(entry.key(), entry.value().orElseThrow());
         } catch (RuntimeException e) {
             throw new IllegalArgumentException(e.getMessage(), e);
         }
