A suspected endpoint is checked again by one chain of checks

Cause: each failed check began its own rechecks, so an endpoint that many requests found dead was checked ever more often until its entry was removed, which an outage of the log may delay.

Test: EndpointChecksTest.areNotCheckedMoreOftenIfManyRequestsFindThem (20 checks before, 11 now).

--- a/src/main/java/hyssopturn/relay/EndpointChecks.java
+++ b/src/main/java/hyssopturn/relay/EndpointChecks.java
@@ -40,6 +40,7 @@
     private final RelayContext context;
     private final CheckPacing pacing;
     private final Set<InstanceId> confirming = new HashSet<>();
+    private final Set<InstanceId> rechecking = new HashSet<>();
     private final Consumer<Endpoint> failureListener;
 
     /**
@@ -106,7 +107,9 @@
             case LISTENS -> clear(endpoint);
             case FAILED -> {
                 failureListener.accept(endpoint);
-                recheckAfter(endpoint, FIRST_RECHECK_DELAY);
+                if (rechecking.add(endpoint.id())) {
+                    recheckAfter(endpoint, FIRST_RECHECK_DELAY);
+                }
             }
             case UNKNOWN ->
                     context.clock().after(UNKNOWN_RETRY_DELAY, () -> pacing.forget(endpoint.id()));
@@ -119,6 +122,7 @@
 
     private void recheck(Endpoint endpoint, Duration delay) {
         if (!roster().suspected(endpoint, context.clock().nanos())) {
+            rechecking.remove(endpoint.id());
             return;
         }
         Duration doubled = delay.multipliedBy(2);
@@ -127,6 +131,7 @@
                 endpoint,
                 result -> {
                     if (result == Liveness.LISTENS) {
+                        rechecking.remove(endpoint.id());
                         clear(endpoint);
                     } else {
                         recheckAfter(endpoint, next);
--- a/src/test/java/hyssopturn/relay/EndpointChecksTest.java
+++ b/src/test/java/hyssopturn/relay/EndpointChecksTest.java
@@ -216,6 +216,16 @@
             assertThat(probed.size(), equalTo(4));
         }
 
+        @Test
+        void areNotCheckedMoreOftenIfManyRequestsFindThem() {
+            results.put(engine(3).address(), Liveness.FAILED);
+            for (int i = 0; i < 10; i++) {
+                checks.check(engine(3));
+            }
+            clock.advance(EndpointChecks.FIRST_RECHECK_DELAY);
+            assertThat(probed, hasSize(11));
+        }
+
         @Test
         void areNotCheckedOnceTheirEntryIsRemoved() {
             results.put(engine(3).address(), Liveness.FAILED);
