Links between zones are shared equally again, each by itself; reports about other zones are checked too

Change: each link's time in equal parts to all nodes, unused parts over 5 s as at first; a bucket a link stays. This allows all that one bucket for all links allowed. Reports about engines of other zones are checked within 0.4 s.

--- a/src/main/java/hyssopturn/chain/InterZoneBudget.java
+++ b/src/main/java/hyssopturn/chain/InterZoneBudget.java
@@ -13,44 +13,32 @@
  *
  * <p>A prompt's activations occupy a link for as long as some tens of messages between engines do,
  * one prompt after another. If every stream that loses an engine were rerouted through another
- * zone, all of them would wait for the link until their callers give up. Most of a link's time
- * belongs to the nodes of the two zones that it connects, in equal shares; a smaller part belongs
- * to all nodes. A request that does not fit continues on other engines or is refused. This bounds
- * the load on each link when an engine that many streams use fails, and when a zone lacks a layer.
+ * zone, all of them would wait for the link until their callers give up. Each node therefore uses
+ * an equal share of each link's time; a request that does not fit continues on other engines or is
+ * refused. This bounds the load on each link when an engine that many streams use fails, and when a
+ * zone lacks a layer.
  */
 public final class InterZoneBudget {
-    /** Time of a link over which unused shares accumulate; the longest queue before the link. */
-    private static final Duration BURST = Duration.ofSeconds(1);
-
-    /** Part of a link's time that belongs to the nodes of the two zones that it connects. */
-    private static final double ADJACENT_PART = 0.7;
-
     /**
-     * Part of a link's time that belongs to all nodes; a rest is kept for zones of unequal size.
+     * Time of a link over which unused shares accumulate, so that a node may use its share of some
+     * seconds at once.
      */
-    private static final double COMMON_PART = 0.2;
+    private static final Duration BURST = Duration.ofSeconds(5);
 
-    private static final int ZONES_PER_LINK = 2;
     private static final double MILLIS = 1_000;
     private static final double MILLI_NANOS = 1_000_000;
     private static final double BITS_PER_BYTE = 8;
     private static final double BITS_PER_MEGABIT = 1_000_000;
 
-    private final String zone;
-    private final int zones;
     private final Map<ZoneLink, Bucket> buckets = new HashMap<>();
     private double nodes;
 
     /**
      * Creates full buckets.
      *
-     * @param zone availability zone of this node
-     * @param zones number of availability zones; at least 1
      * @param nodes number of nodes, this one included
      */
-    public InterZoneBudget(String zone, int zones, double nodes) {
-        this.zone = zone;
-        this.zones = Math.max(1, zones);
+    public InterZoneBudget(double nodes) {
         nodes(nodes);
     }
 
@@ -99,7 +87,7 @@
     }
 
     private Bucket refilled(ZoneLink link, long nowNanos) {
-        double share = share(link);
+        double share = 1 / nodes;
         Bucket bucket = buckets.computeIfAbsent(link, l -> fullBucket(share, nowNanos));
         bucket.refill(share, nowNanos);
         return bucket;
@@ -112,16 +100,6 @@
         return bucket;
     }
 
-    /** Returns the part of a link's time that this node may use, assuming zones of equal size. */
-    private double share(ZoneLink link) {
-        double common = COMMON_PART / nodes;
-        if (!link.endsIn(zone)) {
-            return common;
-        }
-        double adjacentNodes = Math.max(1, nodes * Math.min(1, (double) ZONES_PER_LINK / zones));
-        return common + ADJACENT_PART / adjacentNodes;
-    }
-
     /**
      * Computes how long a prompt's activations occupy a link.
      *
--- a/src/main/java/hyssopturn/chain/ZoneLink.java
+++ b/src/main/java/hyssopturn/chain/ZoneLink.java
@@ -17,14 +17,4 @@
     public static ZoneLink between(String one, String other) {
         return one.compareTo(other) < 0 ? new ZoneLink(one, other) : new ZoneLink(other, one);
     }
-
-    /**
-     * Returns whether the link ends in a zone.
-     *
-     * @param zone the zone
-     * @return true if it is one of the two
-     */
-    public boolean endsIn(String zone) {
-        return first.equals(zone) || second.equals(zone);
-    }
 }
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -117,7 +117,7 @@
         SplittableRandom random = new SplittableRandom();
         retries = retries(settings);
         load = new EngineLoad(random, nodesInZone(settings.nodes()));
-        pipes = new InterZoneBudget(platform.zone(), platform.zones(), settings.nodes());
+        pipes = new InterZoneBudget(settings.nodes());
         HttpClient endpointClient =
                 HttpClients.withoutKeepAlive(
                         vertx, ENDPOINT_CONNECTIONS, settings.connectTimeout());
--- a/src/main/java/hyssopturn/relay/EndpointChecks.java
+++ b/src/main/java/hyssopturn/relay/EndpointChecks.java
@@ -34,9 +34,18 @@
     /** Longest time between checks of a suspected endpoint. */
     static final Duration MAX_RECHECK_DELAY = Duration.ofSeconds(2);
 
-    /** Greatest delay, for each node that shares an engine, before a reported engine is checked. */
+    /**
+     * Greatest delay, for each node of the zone, before a reported engine of this node's zone is
+     * checked.
+     */
     static final Duration REPORT_CHECK_SPREAD = Duration.ofMillis(3);
 
+    /**
+     * Greatest delay before a reported engine of another zone is checked; shorter than a report is
+     * valid, since this node may use the engine when its own zone is full.
+     */
+    static final Duration OTHER_ZONE_CHECK_SPREAD = Duration.ofMillis(400);
+
     private final RelayContext context;
     private final CheckPacing pacing;
     private final Set<InstanceId> confirming = new HashSet<>();
@@ -80,20 +89,22 @@
                 });
     }
 
-    /** Checks the engines of this node's zone that other nodes have reported. */
+    /** Checks the engines that other nodes have reported. */
     void checkReported() {
-        long now = context.clock().nanos();
-        for (Endpoint endpoint : roster().reported(now)) {
-            if (endpoint.zone().equals(context.settings().zone())
-                    && confirming.add(endpoint.id())) {
-                context.clock().after(reportCheckDelay(), () -> confirm(endpoint));
+        for (Endpoint endpoint : roster().reported(context.clock().nanos())) {
+            if (confirming.add(endpoint.id())) {
+                context.clock().after(reportCheckDelay(endpoint), () -> confirm(endpoint));
             }
         }
     }
 
     /** Returns a random delay, so that the nodes do not all connect to an engine at once. */
-    private Duration reportCheckDelay() {
-        double spread = REPORT_CHECK_SPREAD.toNanos() * context.load().nodesPerZone();
+    private Duration reportCheckDelay(Endpoint endpoint) {
+        boolean ownZone = endpoint.zone().equals(context.settings().zone());
+        double spread =
+                ownZone
+                        ? REPORT_CHECK_SPREAD.toNanos() * context.load().nodesPerZone()
+                        : OTHER_ZONE_CHECK_SPREAD.toNanos();
         return Duration.ofNanos((long) (spread * context.random().nextDouble()));
     }
 
