The placing node reads announcements no more often than the others

Cause: with reads each 0.4 s the holder of the placement duty saw the first few engines 1.5 s before the rest, took the list for settled and placed the whole model on them; the rest came too late for a good layout.

Change: back to one interval for all nodes. KeyedFollower is as it was.

Open: a list that grows over more than 1.5 s is taken for settled at any rate of reading.

--- a/src/main/java/hyssopturn/log/KeyedFollower.java
+++ b/src/main/java/hyssopturn/log/KeyedFollower.java
@@ -24,7 +24,7 @@
 
     private final KeyedLog log;
     private final String stream;
-    private Pacing pacing;
+    private final Pacing pacing;
     private final Clock clock;
     private final Backoff backoff;
     private final Listener listener;
@@ -94,15 +94,6 @@
         read();
     }
 
-    /**
-     * Changes the timing of the reads, from the next read on.
-     *
-     * @param timing the new timing
-     */
-    public void pacing(Pacing timing) {
-        pacing = timing;
-    }
-
     /** Stops reading after the read in progress. */
     public void stop() {
         stopped = true;
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -53,12 +53,6 @@
     /** Minimum interval between reads of a stream, however short the platform's bounds are. */
     private static final Duration MIN_READ_INTERVAL = Duration.ofMillis(250);
 
-    /**
-     * Interval between reads of the endpoints' announcements while this node places layers. Engines
-     * that start or fail wait for that node; the others learn of the result later anyway.
-     */
-    private static final Duration PLACEMENT_READ_INTERVAL = Duration.ofMillis(400);
-
     private static final Duration DRAIN_POLL_INTERVAL = Duration.ofMillis(50);
 
     /** Idle timeout of a caller's connection; longer than the timeout of any route. */
@@ -164,7 +158,7 @@
                 follower(
                         adapter,
                         adapter.endpointStream(),
-                        endpointPacing(false),
+                        endpointPacing(),
                         new RosterListener(knowledge.roster(), adapter::endpoint, clock, trace));
         faults =
                 follower(
@@ -201,13 +195,9 @@
                 listener);
     }
 
-    private KeyedFollower.Pacing endpointPacing(boolean placing) {
+    private KeyedFollower.Pacing endpointPacing() {
         Duration interval = max(platform.leaveNotice().dividedBy(2), MIN_READ_INTERVAL);
-        Duration pause =
-                placing && PLACEMENT_READ_INTERVAL.compareTo(interval) < 0
-                        ? PLACEMENT_READ_INTERVAL
-                        : interval;
-        return new KeyedFollower.Pacing(Duration.ZERO, pause);
+        return new KeyedFollower.Pacing(Duration.ZERO, interval);
     }
 
     private RetryBudget retries(RelayNodeSettings settings) {
@@ -231,7 +221,6 @@
         retries.share(share);
         load.nodesPerZone(nodesInZone(assignment.nodes()));
         pipes.nodes(assignment.nodes());
-        endpoints.pacing(endpointPacing(assignment.placementToken().isPresent()));
     }
 
     private RelaySettings relaySettings(RelayNodeSettings settings) {
--- a/src/test/java/hyssopturn/log/KeyedFollowerTest.java
+++ b/src/test/java/hyssopturn/log/KeyedFollowerTest.java
@@ -154,16 +154,6 @@
         }
     }
 
-    @Test
-    void aChangeOfThePacingAppliesFromTheNextReadOn() {
-        follower.start();
-        clock.advance(Duration.ofSeconds(10));
-        int slow = log.reads;
-        follower.pacing(new KeyedFollower.Pacing(Duration.ZERO, Duration.ofMillis(100)));
-        clock.advance(Duration.ofSeconds(10));
-        assertThat(log.reads - slow, greaterThan(5 * slow));
-    }
-
     @Test
     void readsArePaced() {
         follower.start();
