Self-test and test harness read bodies on the event loop; a discarded pool waits for its calls

If that thread was delayed until the head of the answer had been read, the bytes were discarded and the body never came ("Timeout 4000 (ms) fired"). The timeout is a checked exception that the repeating loop did not catch, so one lost call ended the command. RelayHarness had the same order of calls.

Cause (HttpCallerTest, known red, "Pool closed"): a pool was shut down while calls waited for a connection of it, or had just got one. The new test fails on the code before with "Connection was closed".

Change: bodies are read where the head arrives; a failed call is repeated like a wrong answer; a discarded pool is shut down when its last call has ended.

--- a/src/main/java/hyssopturn/cli/SelftestCommand.java
+++ b/src/main/java/hyssopturn/cli/SelftestCommand.java
@@ -5,6 +5,7 @@
 import hyssopturn.platform.PlatformSettings;
 import hyssopturn.platform.StandinPlatform;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 
 import picocli.CommandLine.Command;
@@ -20,6 +21,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.function.Function;
 
 /** Runs a node against a stand-in of the platform in this process and sends it requests. */
 @Command(
@@ -50,7 +52,11 @@
     }
 
     /** A request and what its answer must be. */
-    private record Check(String path, int status, String body) {}
+    record Check(String path, int status, String body) {
+        boolean passedBy(StandinPlatform.Answer answer) {
+            return answer.status() == status && answer.body().equals(body);
+        }
+    }
 
     @Override
     public Integer call() throws InterruptedException, IOException {
@@ -66,29 +72,32 @@
         node.start();
         boolean passed = true;
         for (Check check : CHECKS) {
-            passed &= check(platform, front, check);
+            passed &= check(check, path -> platform.call(front, path), spec.commandLine().getOut());
         }
         node.close();
         vertx.close().await();
         return passed ? ExitCodes.OK : ExitCodes.FAILED;
     }
 
-    /** Repeats a request until the answer is right or the node had time enough to start. */
-    private boolean check(StandinPlatform platform, Address front, Check check)
+    /**
+     * Repeats a request until the answer is right or the node had time enough to start.
+     *
+     * @param check request and expected answer
+     * @param caller sends a request with the given path
+     * @param out destination of the result
+     * @return true if the answer was right; a call that fails is repeated like a wrong answer
+     */
+    static boolean check(
+            Check check, Function<String, Future<StandinPlatform.Answer>> caller, PrintWriter out)
             throws InterruptedException {
-        PrintWriter out = spec.commandLine().getOut();
         long end = System.nanoTime() + StandinPlatform.startupTimeout().toNanos();
         String got = "";
         while (System.nanoTime() < end) {
-            try {
-                StandinPlatform.Answer answer = platform.call(front, check.path).await();
-                if (answer.status() == check.status && answer.body().equals(check.body)) {
-                    out.println("passed " + check.path + ": " + check.status);
-                    return true;
-                }
-                got = answer.toString();
-            } catch (RuntimeException e) {
-                got = e.toString();
+            Future<StandinPlatform.Answer> answer = caller.apply(check.path);
+            got = answer.map(Object::toString).otherwise(Throwable::toString).await();
+            if (answer.succeeded() && check.passedBy(answer.result())) {
+                out.println("passed " + check.path + ": " + check.status);
+                return true;
             }
             Thread.sleep(TICK);
         }
--- a/src/main/java/hyssopturn/platform/StandinPlatform.java
+++ b/src/main/java/hyssopturn/platform/StandinPlatform.java
@@ -8,6 +8,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
@@ -139,19 +140,25 @@
      */
     public Future<Answer> call(Address front, String path) {
         return client.request(HttpMethod.POST, front.port(), front.host(), path)
-                .compose(
-                        request ->
-                                request.putHeader("Host", "selftest.example")
-                                        .putHeader("X-Api-Key", "selftest-key")
-                                        .putHeader(ATTEMPT_ID, "selftest" + path)
-                                        .putHeader("Hyssopturn-Deadline-Ms", "3000")
-                                        .putHeader("Hyssopturn-Token-Counts", "10,10")
-                                        .send("selftest"))
+                .compose(request -> send(request, path))
+                .timeout(CALL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Sends a request and reads the answer. The body is asked for on the event loop as soon as the
+     * head has been read, because a body that nobody reads yet is discarded.
+     */
+    private static Future<Answer> send(HttpClientRequest request, String path) {
+        return request.putHeader("Host", "selftest.example")
+                .putHeader("X-Api-Key", "selftest-key")
+                .putHeader(ATTEMPT_ID, "selftest" + path)
+                .putHeader("Hyssopturn-Deadline-Ms", "3000")
+                .putHeader("Hyssopturn-Token-Counts", "10,10")
+                .send("selftest")
                 .compose(
                         response ->
                                 response.body()
-                                        .map(b -> new Answer(response.statusCode(), b.toString())))
-                .timeout(CALL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+                                        .map(b -> new Answer(response.statusCode(), b.toString())));
     }
 
     /**
--- a/src/main/java/hyssopturn/wire/ConnectionPools.java
+++ b/src/main/java/hyssopturn/wire/ConnectionPools.java
@@ -18,7 +18,8 @@
 /**
  * One connection pool per receiver, so that a pool with a suspect connection is discarded whole.
  *
- * <p>Calls in progress on a discarded pool finish; no new call uses its connections.
+ * <p>Calls in progress on a discarded pool finish, also those that still wait for a connection; no
+ * new call uses its connections.
  */
 final class ConnectionPools implements AutoCloseable {
     private static final int POOL_PER_HOST = 256;
@@ -43,7 +44,45 @@
     private final HttpClient fresh;
     private final Cache<Address, Pool> pools;
 
-    private record Pool(HttpClient client, long createdNanos) {}
+    /** The connections to one receiver. */
+    static final class Pool {
+        private final HttpClient client;
+        private final long createdNanos;
+        private final Duration drainTimeout;
+        private int calls;
+        private boolean discarded;
+
+        private Pool(HttpClient client, long createdNanos, Duration drainTimeout) {
+            this.client = client;
+            this.createdNanos = createdNanos;
+            this.drainTimeout = drainTimeout;
+        }
+
+        HttpClient client() {
+            return client;
+        }
+
+        private synchronized void beginCall() {
+            calls++;
+        }
+
+        /** Ends a call; the last one on a discarded pool closes the pool's connections. */
+        synchronized void endCall() {
+            calls--;
+            shutDownIfUnused();
+        }
+
+        private synchronized void discard() {
+            discarded = true;
+            shutDownIfUnused();
+        }
+
+        private void shutDownIfUnused() {
+            if (discarded && calls == 0) {
+                client.shutdown(drainTimeout.toMillis(), TimeUnit.MILLISECONDS);
+            }
+        }
+    }
 
     /**
      * Creates pools without connections.
@@ -65,7 +104,7 @@
                 Caffeine.newBuilder()
                         .expireAfterAccess(POOL_EXPIRY)
                         .removalListener(
-                                (Address receiver, Pool pool, RemovalCause cause) -> retire(pool))
+                                (Address receiver, Pool pool, RemovalCause cause) -> pool.discard())
                         .build();
     }
 
@@ -74,18 +113,25 @@
                 clientOptions, new PoolOptions().setHttp1MaxSize(POOL_PER_HOST));
     }
 
-    private void retire(Pool pool) {
-        pool.client().shutdown(drainTimeout.toMillis(), TimeUnit.MILLISECONDS);
-    }
-
     /**
-     * Returns the client that reuses connections to a receiver.
+     * Returns the pool that reuses connections to a receiver, for one call.
      *
      * @param to the receiver
-     * @return its pool's client
+     * @return its pool, on which the caller must end the call
      */
-    HttpClient pooled(Address to) {
-        return pools.get(to, receiver -> new Pool(client(options), nanos.getAsLong())).client();
+    Pool beginCall(Address to) {
+        return pools.asMap()
+                .compute(
+                        to,
+                        (receiver, existing) -> {
+                            Pool pool = existing == null ? newPool() : existing;
+                            pool.beginCall();
+                            return pool;
+                        });
+    }
+
+    private Pool newPool() {
+        return new Pool(client(options), nanos.getAsLong(), drainTimeout);
     }
 
     /**
@@ -107,7 +153,7 @@
                 .computeIfPresent(
                         to,
                         (receiver, pool) ->
-                                nanos.getAsLong() - pool.createdNanos() < MIN_DISCARD_AGE_NANOS
+                                nanos.getAsLong() - pool.createdNanos < MIN_DISCARD_AGE_NANOS
                                         ? pool
                                         : null);
     }
--- a/src/main/java/hyssopturn/wire/HttpCaller.java
+++ b/src/main/java/hyssopturn/wire/HttpCaller.java
@@ -111,16 +111,18 @@
                         .setURI(path)
                         .setIdleTimeout(idleTimeout.toMillis());
         CompletableFuture<Buffer> answer = new CompletableFuture<>();
-        HttpClient client = client(to, dial);
-        client.request(options)
+        client(to, dial, answer)
+                .request(options)
                 .onFailure(e -> answer.completeExceptionally(unreachable(to, e)))
                 .onSuccess(request -> send(to, request, body, answer));
         return answer;
     }
 
-    private HttpClient client(Address to, Dial dial) {
+    private HttpClient client(Address to, Dial dial, CompletableFuture<Buffer> answer) {
         if (dial == Dial.POOLED) {
-            return pools.pooled(to);
+            ConnectionPools.Pool pool = pools.beginCall(to);
+            answer.whenComplete((body, error) -> pool.endCall());
+            return pool.client();
         }
         pools.discard(to);
         return pools.fresh();
--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -290,10 +290,11 @@
     }
 
     Answer call(String path, Map<String, String> headers) {
-        return send(path, headers).compose(this::read).await();
+        return send(path, headers).await();
     }
 
-    private Future<HttpClientResponse> send(String path, Map<String, String> headers) {
+    /** Sends a request and reads the answer on the event loop, which discards unread bytes. */
+    private Future<Answer> send(String path, Map<String, String> headers) {
         return client.request(HttpMethod.POST, port, HOST, path)
                 .compose(
                         request -> {
@@ -304,7 +305,7 @@
                             request.putHeader("Hyssopturn-Token-Counts", "10,10");
                             request.putHeader("Hyssopturn-Deadline-Ms", "10000");
                             headers.forEach(request::putHeader);
-                            return request.send(BODY);
+                            return request.send(BODY).compose(this::read);
                         });
     }
 
--- a/src/test/java/hyssopturn/wire/HttpCallerTest.java
+++ b/src/test/java/hyssopturn/wire/HttpCallerTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.notNullValue;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import hyssopturn.model.Address;
@@ -20,11 +21,13 @@
 import org.junit.jupiter.api.Test;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
 
 class HttpCallerTest {
     private static final Vertx vertx = Vertx.vertx();
@@ -108,4 +111,14 @@
         assertThat(error.getCause(), instanceOf(InDoubtException.class));
         assertThat(call(Dial.POOLED), is("3"));
     }
+
+    @Test
+    void callsThatWaitForAConnectionSurviveTheDiscardOfTheirPool() throws InterruptedException {
+        call(Dial.POOLED);
+        Thread.sleep(NEW_POOL_MILLIS);
+        List<CompletableFuture<String>> waiting =
+                IntStream.range(0, MANY).mapToObj(i -> startCall(LONG, Dial.POOLED)).toList();
+        call(Dial.FRESH);
+        waiting.forEach(answer -> assertThat(answer.join(), is(notNullValue())));
+    }
 }
