The first plan waits for one more read of the endpoint list; each service settles by itself

A service without engines counted as settled, and settled all others with it. A new holder waited although it had known all engines for long, because it counted from the grant of the duty.

Change: the roster knows since when an endpoint is listed; a service is settled when no engine is newer than one read interval and the read's delay. With reads every 2 s that is 2.5 s after the newest engine instead of 1.5 s after the first read, and nothing after a takeover.

Tests: enginesOfTheNextReadArePartOfTheFirstPlan and waitsForNewEnginesToSettle (now with a service without engines) fail with the behaviour before put back.

--- a/src/main/java/hyssopturn/chain/LayerController.java
+++ b/src/main/java/hyssopturn/chain/LayerController.java
@@ -17,10 +17,12 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -38,10 +40,8 @@
     private static final Duration JOIN_INTERVAL = Duration.ofSeconds(1);
     private static final Duration DUTY_LEASE = Duration.ofSeconds(3);
 
-    /**
-     * Time without a new engine before the first plan of a new holder; longer than one heartbeat.
-     */
-    private static final Duration SETTLE_TIME = Duration.ofMillis(1_500);
+    /** Time that a read of the list may be late, and an announcement on its way. */
+    private static final Duration READ_DELAY = Duration.ofMillis(500);
 
     /** Longest time that an order counts as pending. */
     private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(13);
@@ -57,12 +57,12 @@
     private final TraceLog trace;
     private final Consumer<Duties.Assignment> listener;
     private final Map<InstanceId, PendingOrder> pendingOrders = new HashMap<>();
-    private final Map<InstanceId, Long> firstSeen = new HashMap<>();
+    private final Set<String> settledServices = new HashSet<>();
+    private final Duration settleTime;
     private OptionalLong fence = OptionalLong.empty();
     private long rejectedFence = Long.MIN_VALUE;
     private long heldUntilNanos;
     private long nextJoinNanos;
-    private boolean settled;
     private boolean stopped;
 
     /**
@@ -70,6 +70,7 @@
      *
      * @param catalog supplies the configuration in force
      * @param roster known endpoints
+     * @param readInterval interval between reads of the list of endpoints
      * @param duties grants the placement duty
      * @param engines sends orders to engines
      * @param clock time
@@ -79,6 +80,7 @@
     public LayerController(
             Supplier<Optional<Catalog>> catalog,
             Roster roster,
+            Duration readInterval,
             Duties duties,
             EngineControl engines,
             Clock clock,
@@ -87,6 +89,7 @@
         this.listener = listener;
         this.catalog = catalog;
         this.roster = roster;
+        settleTime = readInterval.plus(READ_DELAY);
         this.duties = duties;
         this.engines = engines;
         this.clock = clock;
@@ -136,7 +139,7 @@
         listener.accept(granted);
         OptionalLong held = granted.placementToken();
         if (held.isEmpty()) {
-            settled = false;
+            settledServices.clear();
         }
         if (!held.equals(fence)) {
             trace.record(new TraceEvent.Duty(held.isPresent(), held.orElse(-1)));
@@ -154,14 +157,24 @@
             return;
         }
         long now = clock.nanos();
-        List<Endpoint> live = roster.stable(service.name(), now);
-        for (Endpoint engine : live) {
-            firstSeen.putIfAbsent(engine.id(), now);
+        if (settled(service.name(), now)) {
+            sendOrders(service.engine().get(), roster.stable(service.name(), now), now);
+        }
+    }
+
+    /**
+     * Returns whether the first plan can be made. A new holder waits until one more read of the
+     * list brought no new engine: orders for a part of the engines take long to undo.
+     */
+    private boolean settled(String service, long now) {
+        if (settledServices.contains(service)) {
+            return true;
         }
-        settled |= live.stream().allMatch(e -> now - firstSeen.get(e.id()) > SETTLE_TIME.toNanos());
-        if (settled && !live.isEmpty()) {
-            sendOrders(service.engine().get(), live, now);
+        boolean settled = roster.settled(service, settleTime, now);
+        if (settled) {
+            settledServices.add(service);
         }
+        return settled;
     }
 
     private void sendOrders(EngineSpec spec, List<Endpoint> live, long now) {
--- a/src/main/java/hyssopturn/fleet/Roster.java
+++ b/src/main/java/hyssopturn/fleet/Roster.java
@@ -54,6 +54,7 @@
     }
 
     private static final class Entry {
+        private final long firstListedNanos;
         private Endpoint endpoint;
         private long lastHeartbeatNanos;
         private Optional<Suspicion> suspicion = Optional.empty();
@@ -62,6 +63,7 @@
 
         Entry(Endpoint endpoint, long nowNanos) {
             this.endpoint = endpoint;
+            firstListedNanos = nowNanos;
             lastHeartbeatNanos = nowNanos;
             leaving = endpoint.leaving();
         }
@@ -325,12 +327,30 @@
      * @return the endpoints, in no particular order
      */
     public List<Endpoint> stable(String service, long nowNanos) {
-        return list(
-                e ->
-                        e.removedNanos.isEmpty()
-                                && !e.leaving
-                                && !lost(e, nowNanos)
-                                && e.endpoint.service().equals(service));
+        return list(e -> stable(e, nowNanos) && e.endpoint.service().equals(service));
+    }
+
+    private static boolean stable(Entry entry, long nowNanos) {
+        return entry.removedNanos.isEmpty() && !entry.leaving && !lost(entry, nowNanos);
+    }
+
+    /**
+     * Returns whether the list of a service's endpoints is complete as far as this node can know:
+     * it has endpoints, and none of them appeared or started again within the given time.
+     *
+     * @param service name of the service
+     * @param period least time without a new endpoint
+     * @param nowNanos time now
+     * @return true if there are endpoints that are expected to continue, and none is new
+     */
+    public boolean settled(String service, Duration period, long nowNanos) {
+        long newest = Long.MIN_VALUE;
+        for (Entry entry : entries.values()) {
+            if (entry.endpoint.service().equals(service) && stable(entry, nowNanos)) {
+                newest = Math.max(newest, entry.firstListedNanos);
+            }
+        }
+        return newest != Long.MIN_VALUE && nowNanos - newest > period.toNanos();
     }
 
     private static boolean lost(Entry entry, long nowNanos) {
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -158,7 +158,7 @@
                 follower(
                         adapter,
                         adapter.endpointStream(),
-                        endpointPacing(),
+                        new KeyedFollower.Pacing(Duration.ZERO, endpointReadInterval()),
                         new RosterListener(knowledge.roster(), adapter::endpoint, clock, trace));
         faults =
                 follower(
@@ -170,6 +170,7 @@
                 new LayerController(
                         knowledge::catalog,
                         knowledge.roster(),
+                        endpointReadInterval(),
                         adapter.duties(),
                         adapter.engines(),
                         clock,
@@ -195,9 +196,8 @@
                 listener);
     }
 
-    private KeyedFollower.Pacing endpointPacing() {
-        Duration interval = max(platform.leaveNotice().dividedBy(2), MIN_READ_INTERVAL);
-        return new KeyedFollower.Pacing(Duration.ZERO, interval);
+    private Duration endpointReadInterval() {
+        return max(platform.leaveNotice().dividedBy(2), MIN_READ_INTERVAL);
     }
 
     private RetryBudget retries(RelayNodeSettings settings) {
--- a/src/test/java/hyssopturn/chain/LayerControllerTest.java
+++ b/src/test/java/hyssopturn/chain/LayerControllerTest.java
@@ -39,6 +39,7 @@
 
 class LayerControllerTest {
     private static final Duration WAIT = Duration.ofSeconds(4);
+    private static final Duration READ_INTERVAL = Duration.ofSeconds(2);
 
     private final VirtualClock clock = new VirtualClock(0);
     private final Roster roster = new Roster();
@@ -50,12 +51,21 @@
             new Catalog(
                     1,
                     List.of(),
-                    List.of(new ServiceSpec("writers", Optional.of(SPEC))),
+                    List.of(
+                            new ServiceSpec("drafters", Optional.of(SPEC)),
+                            new ServiceSpec("writers", Optional.of(SPEC))),
                     Optional.empty(),
                     new CallerLimits(1, 1, Duration.ZERO));
     private final LayerController controller =
             new LayerController(
-                    () -> Optional.of(catalog), roster, duties, engines, clock, trace, share -> {});
+                    () -> Optional.of(catalog),
+                    roster,
+                    READ_INTERVAL,
+                    duties,
+                    engines,
+                    clock,
+                    trace,
+                    share -> {});
 
     /** Grants the placement duty to this node, or reports that another node holds it. */
     private static final class FakeDuties implements Duties {
@@ -138,6 +148,36 @@
             assertThat(engines.orders, empty());
         }
 
+        @Test
+        void enginesOfTheNextReadArePartOfTheFirstPlan() {
+            duties.fence = OptionalLong.of(3);
+            announce(Engines.empty("e0", "a", LARGE));
+            announce(Engines.empty("e1", "a", LARGE));
+            controller.start();
+            clock.advance(READ_INTERVAL);
+            assertThat(engines.orders, empty());
+            announceFive();
+            clock.advance(WAIT);
+            assertThat(engines.orders, equalTo(ordersOfAPlanForFive()));
+        }
+
+        private List<Order> ordersOfAPlanForFive() {
+            return new LayerPlanner(SPEC)
+                    .plan(roster.stable("writers", clock.nanos())).stream()
+                            .map(a -> new Order(a.engine().id(), a.range(), 3))
+                            .toList();
+        }
+
+        @Test
+        void newHolderDoesNotWaitForEnginesThatItHasKnownForLong() {
+            announceFive();
+            controller.start();
+            clock.advance(WAIT);
+            duties.fence = OptionalLong.of(3);
+            clock.advance(Duration.ofMillis(1_250));
+            assertThat(engines.orders, hasSize(5));
+        }
+
         @Test
         void doesNotRepeatAnOrderThatMayStillBeCarriedOut() {
             duties.fence = OptionalLong.of(3);
