An unexpected error while a request is admitted is answered; counts in headers are limited

Cause: a deadline header far below zero overflowed when the deadline's timer was set. The exception left the request without an answer, counted as running until its connection ended, so a planned stop waited for it too.

Change: negative and huge counts are limited where headers are decoded; an unexpected error in admission ends that request with 500, outcome "error", a log line and a closed connection. No endpoint has the request then.

--- a/src/main/java/hyssopturn/platform/PlatformHeaders.java
+++ b/src/main/java/hyssopturn/platform/PlatformHeaders.java
@@ -33,19 +33,32 @@
     private static final String HOST = "Host";
     private static final int MISDIRECTED = 421;
 
+    /** Limit of decoded counts, so that sums and products of them do not overflow. */
+    private static final long MAX_COUNT = 1_000_000_000;
+
     @Override
     public CallHeaders decode(MultiMap headers) {
         String[] tokens = Optional.ofNullable(headers.get(TOKEN_COUNTS)).orElse("").split(",", -1);
         return new CallHeaders(
                 Optional.ofNullable(headers.get(ATTEMPT_ID)),
-                number(headers.get(DEADLINE)).stream().mapToObj(Duration::ofMillis).findFirst(),
+                count(headers.get(DEADLINE)).stream().mapToObj(Duration::ofMillis).findFirst(),
                 Optional.ofNullable(headers.get(API_KEY)),
-                number(tokens[0]).orElse(0),
-                tokens.length > 1 ? number(tokens[1]).orElse(0) : 0,
-                number(headers.get(EXPECTED_TOKENS)),
+                count(tokens[0]).orElse(0),
+                tokens.length > 1 ? count(tokens[1]).orElse(0) : 0,
+                count(headers.get(EXPECTED_TOKENS)),
                 number(headers.get(LAST_EVENT_ID)));
     }
 
+    /**
+     * Decodes a number of milliseconds or tokens; values that no sound caller sends are limited.
+     */
+    private static OptionalLong count(String text) {
+        OptionalLong value = number(text);
+        return value.isPresent()
+                ? OptionalLong.of(Math.clamp(value.getAsLong(), 0, MAX_COUNT))
+                : value;
+    }
+
     private static OptionalLong number(String text) {
         if (text == null) {
             return OptionalLong.empty();
--- a/src/main/java/hyssopturn/relay/Relay.java
+++ b/src/main/java/hyssopturn/relay/Relay.java
@@ -1,5 +1,7 @@
 package hyssopturn.relay;
 
+import com.google.common.flogger.FluentLogger;
+
 import hyssopturn.catalog.Account;
 import hyssopturn.catalog.Catalog;
 import hyssopturn.catalog.EngineSpec;
@@ -16,6 +18,8 @@
 
 /** Entry point of requests: reads the body, finds route and account, and starts the call. */
 public final class Relay {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
     /** How long a request waits for a newly started node to load configuration and endpoints. */
     private static final Duration STARTUP_WAIT = Duration.ofMillis(500);
 
@@ -27,6 +31,7 @@
     private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
     private static final int TOO_LARGE = 413;
+    private static final int INTERNAL_ERROR = 500;
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -112,11 +117,22 @@
         request.endHandler(
                 v -> {
                     if (!request.response().ended()) {
-                        admit(request, body, arrivedNanos);
+                        admitOrFail(request, body, arrivedNanos);
                     }
                 });
     }
 
+    /** Admits a request; an unexpected error ends this request alone, and with an answer. */
+    private void admitOrFail(HttpServerRequest request, Buffer body, long arrivedNanos) {
+        try {
+            admit(request, body, arrivedNanos);
+        } catch (RuntimeException e) {
+            logger.atSevere().withCause(e).log("request to %s failed", request.path());
+            request.response().putHeader("Connection", "close");
+            end(request, "", INTERNAL_ERROR, "error", e.getClass().getSimpleName(), arrivedNanos);
+        }
+    }
+
     private void admit(HttpServerRequest request, Buffer body, long arrivedNanos) {
         long now = context.clock().nanos();
         if (drainPeriodOver(now)) {
@@ -151,7 +167,7 @@
 
     private void admitIfOpen(HttpServerRequest request, Buffer body, long arrivedNanos) {
         if (!request.response().closed()) {
-            admit(request, body, arrivedNanos);
+            admitOrFail(request, body, arrivedNanos);
         }
     }
 
@@ -195,15 +211,26 @@
             double seconds = context.settings().retryAfter().toMillis() / MILLIS_PER_SECOND;
             request.response().putHeader("Retry-After", String.valueOf(seconds));
         }
+        String id = context.headerCodec().decode(request.headers()).id().orElse("");
+        end(request, id, status, "refused", cause, arrivedNanos);
+    }
+
+    /** Answers a request that was sent to no endpoint, and logs its outcome. */
+    private void end(
+            HttpServerRequest request,
+            String id,
+            int status,
+            String outcome,
+            String cause,
+            long arrivedNanos) {
         long now = context.clock().nanos();
-        CallHeaders headers = context.headerCodec().decode(request.headers());
         context.trace()
                 .record(
                         new TraceEvent.Ended(
-                                headers.id().orElse(""),
+                                id,
                                 "",
                                 "",
-                                "refused",
+                                outcome,
                                 status,
                                 cause,
                                 0,
@@ -212,7 +239,6 @@
                                 (now - arrivedNanos) / NANOS_PER_MILLI,
                                 context.routingState().catalog().map(Catalog::version).orElse(-1L),
                                 context.routingState().age(now).toMillis()));
-
         request.response().setStatusCode(status).end();
     }
 }
--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -11,6 +11,10 @@
 import hyssopturn.model.LayerRange;
 import hyssopturn.port.Clock;
 import hyssopturn.port.Liveness;
+import hyssopturn.relay.Attempt;
+import hyssopturn.relay.CallHeaders;
+import hyssopturn.relay.EndpointReply;
+import hyssopturn.relay.HeaderCodec;
 import hyssopturn.relay.LoopLag;
 import hyssopturn.relay.Relay;
 import hyssopturn.relay.RelayContext;
@@ -89,6 +93,7 @@
     private volatile Runnable onFirstEvent = () -> {};
     private final long startNanos = System.nanoTime();
     private volatile long offsetNanos;
+    private volatile boolean decodingFails;
 
     /** An answer as the caller received it; complete unless the connection was cut off. */
     record Answer(int status, MultiMap headers, String body, boolean complete) {}
@@ -108,7 +113,7 @@
         RelayContext parts =
                 new RelayContext(
                         knowledge,
-                        new PlatformHeaders(),
+                        headers(),
                         client,
                         clock,
                         new SplittableRandom(1),
@@ -160,6 +165,35 @@
         };
     }
 
+    /** Decodes and encodes as the platform does, unless a test lets the decoding fail. */
+    private HeaderCodec headers() {
+        PlatformHeaders platform = new PlatformHeaders();
+        return new HeaderCodec() {
+            @Override
+            public CallHeaders decode(MultiMap headers) {
+                if (decodingFails) {
+                    throw new IllegalStateException("unexpected");
+                }
+                return platform.decode(headers);
+            }
+
+            @Override
+            public void encode(MultiMap from, MultiMap to, Attempt attempt) {
+                platform.encode(from, to, attempt);
+            }
+
+            @Override
+            public EndpointReply decodeReply(int status, MultiMap headers) {
+                return platform.decodeReply(status, headers);
+            }
+        };
+    }
+
+    /** Sets whether decoding the headers of requests fails with an unexpected error. */
+    void decodingFails(boolean fails) {
+        decodingFails = fails;
+    }
+
     /** Puts the configuration into force. */
     void configure() {
         onLoop(() -> knowledge.update(CatalogDecoder.decode(Bytes.utf8(CONFIG))));
