--- a/src/test/java/hyssopturn/fleet/RosterTest.java
+++ b/src/test/java/hyssopturn/fleet/RosterTest.java
@@ -208,4 +208,32 @@
             assertThat(usable(200), hasSize(1));
         }
     }
+
+    @Nested
+    class Settling {
+        private static final Duration PERIOD = Duration.ofSeconds(2);
+
+        @Test
+        void takesThePeriodFromTheNewestEndpointOn() {
+            roster.announce(endpoint(false, 1, 1), at(0));
+            assertThat(roster.settled(SERVICE, PERIOD, at(1_000)), is(false));
+            assertThat(roster.settled(SERVICE, PERIOD, at(2_001)), is(true));
+        }
+
+        @Test
+        void startsAgainWithARestartedEndpointButNotWithARepeatedAnnouncement() {
+            roster.announce(endpoint(false, 1, 1), at(0));
+            roster.announce(endpoint(false, 1, 2), at(1_500));
+            assertThat(roster.settled(SERVICE, PERIOD, at(2_001)), is(true));
+            roster.announce(endpoint(false, 2, 1), at(2_500));
+            assertThat(roster.settled(SERVICE, PERIOD, at(3_000)), is(false));
+        }
+
+        @Test
+        void needsAnEndpointThatStays() {
+            assertThat(roster.settled(SERVICE, PERIOD, at(5_000)), is(false));
+            roster.announce(endpoint(true, 1, 1), at(0));
+            assertThat(roster.settled(SERVICE, PERIOD, at(5_000)), is(false));
+        }
+    }
 }
--- a/src/test/java/hyssopturn/node/FaultReporterTest.java
+++ b/src/test/java/hyssopturn/node/FaultReporterTest.java
@@ -6,9 +6,8 @@
 
 import hyssopturn.fleet.Endpoint;
 import hyssopturn.fleet.Roster;
-import hyssopturn.model.Address;
+import hyssopturn.fleet.TestEndpoints;
 import hyssopturn.model.Bytes;
-import hyssopturn.model.InstanceId;
 import hyssopturn.port.KeyedLog;
 import hyssopturn.standin.VirtualClock;
 import hyssopturn.trace.TraceLog;
@@ -30,18 +29,7 @@
     /** Time until an appended record has reached every node. */
     private static final Duration LOG_DELAY = Duration.ofMillis(10);
 
-    private static final Endpoint ENGINE =
-            new Endpoint(
-                    new InstanceId("e1"),
-                    "writers",
-                    new Address("10.0.0.1", 80),
-                    "a",
-                    1,
-                    false,
-                    "k",
-                    Optional.empty(),
-                    1,
-                    1);
+    private static final Endpoint ENGINE = TestEndpoints.engine("e1");
 
     private final VirtualClock clock = new VirtualClock(0);
     private final TraceLog trace = new TraceLog("n", clock, OutputStream.nullOutputStream(), 1_000);
--- a/src/test/java/hyssopturn/node/RosterListenerTest.java
+++ b/src/test/java/hyssopturn/node/RosterListenerTest.java
@@ -6,9 +6,8 @@
 
 import hyssopturn.fleet.Endpoint;
 import hyssopturn.fleet.Roster;
-import hyssopturn.model.Address;
+import hyssopturn.fleet.TestEndpoints;
 import hyssopturn.model.Bytes;
-import hyssopturn.model.InstanceId;
 import hyssopturn.port.KeyedLog;
 import hyssopturn.standin.VirtualClock;
 import hyssopturn.trace.TraceEvent;
@@ -39,17 +38,7 @@
     }
 
     private static Endpoint endpoint(KeyedLog.Entry entry) {
-        return new Endpoint(
-                new InstanceId(entry.key()),
-                "writers",
-                new Address("10.0.0.1", 80),
-                "a",
-                1,
-                false,
-                "k",
-                Optional.empty(),
-                1,
-                entry.offset());
+        return TestEndpoints.engine(entry.key(), 80, "a", entry.offset());
     }
 
     private static KeyedLog.Page page(int engines) {
--- a/src/test/java/hyssopturn/relay/EndpointChecksTest.java
+++ b/src/test/java/hyssopturn/relay/EndpointChecksTest.java
@@ -12,8 +12,8 @@
 import hyssopturn.fleet.Endpoint;
 import hyssopturn.fleet.Evidence;
 import hyssopturn.fleet.Roster;
+import hyssopturn.fleet.TestEndpoints;
 import hyssopturn.model.Address;
-import hyssopturn.model.InstanceId;
 import hyssopturn.port.Liveness;
 import hyssopturn.standin.VirtualClock;
 import hyssopturn.trace.TraceLog;
@@ -36,7 +36,6 @@
 import java.util.concurrent.CompletableFuture;
 
 class EndpointChecksTest {
-    private static final String SERVICE = "writers";
     private static final String ZONE = "a";
     private static final int ENGINES = 20;
     private static final int NODES_IN_ZONE = 19;
@@ -87,17 +86,7 @@
     }
 
     private static Endpoint engine(int number, String zone) {
-        return new Endpoint(
-                new InstanceId("e" + number),
-                SERVICE,
-                new Address("10.0.0.1", 1_000 + number),
-                zone,
-                1,
-                false,
-                "k",
-                Optional.empty(),
-                1,
-                1);
+        return TestEndpoints.engine("e" + number, 1_000 + number, zone, 1);
     }
 
     private CompletableFuture<Liveness> probe(Address address, Optional<Address> reference) {
@@ -118,7 +107,7 @@
     }
 
     private List<Endpoint> usable() {
-        return state.roster().usable(SERVICE, clock.nanos());
+        return state.roster().usable(TestEndpoints.SERVICE, clock.nanos());
     }
 
     private void play(Duration span) {
