Reading of the whole change: an unexpected error ends its call; one search less; simpler pools, buckets and settling

Cause: an error in the choice of a chain was answered by the guard in Relay, which does not know the call; the call went on, kept its deadline timer and ended a second time. unexpectedErrorInTheChoiceOfAChainEndsTheRequestOnce fails on the code before (outcomes "error", "broken"). Retries had no guard and waited for the deadline.

Change: Call.attempt ends the call itself, on the first attempt and on retries; Relay's guard is left for what comes before a call. A request that finds no chain is not searched for twice unless there are reported engines that the second search may use. A discarded pool is closed when its last call has ended, so it needs no drain timeout. Buckets of links have a constructor.

--- a/src/main/java/hyssopturn/chain/InterZoneBudget.java
+++ b/src/main/java/hyssopturn/chain/InterZoneBudget.java
@@ -47,10 +47,14 @@
         private double availableMillis;
         private long refilledNanos;
 
+        Bucket(double availableMillis, long nowNanos) {
+            this.availableMillis = availableMillis;
+            refilledNanos = nowNanos;
+        }
+
         void refill(double share, long nowNanos) {
             double elapsedMillis = (nowNanos - refilledNanos) / MILLI_NANOS;
-            availableMillis =
-                    Math.min(share * BURST.toMillis(), availableMillis + share * elapsedMillis);
+            availableMillis = Math.min(burstMillis(share), availableMillis + share * elapsedMillis);
             refilledNanos = nowNanos;
         }
     }
@@ -88,16 +92,14 @@
 
     private Bucket refilled(ZoneLink link, long nowNanos) {
         double share = 1 / nodes;
-        Bucket bucket = buckets.computeIfAbsent(link, l -> fullBucket(share, nowNanos));
+        Bucket bucket =
+                buckets.computeIfAbsent(link, l -> new Bucket(burstMillis(share), nowNanos));
         bucket.refill(share, nowNanos);
         return bucket;
     }
 
-    private static Bucket fullBucket(double share, long nowNanos) {
-        Bucket bucket = new Bucket();
-        bucket.availableMillis = share * BURST.toMillis();
-        bucket.refilledNanos = nowNanos;
-        return bucket;
+    private static double burstMillis(double share) {
+        return share * BURST.toMillis();
     }
 
     /**
--- a/src/main/java/hyssopturn/chain/LayerController.java
+++ b/src/main/java/hyssopturn/chain/LayerController.java
@@ -167,14 +167,8 @@
      * list brought no new engine: orders for a part of the engines take long to undo.
      */
     private boolean settled(String service, long now) {
-        if (settledServices.contains(service)) {
-            return true;
-        }
-        boolean settled = roster.settled(service, settleTime, now);
-        if (settled) {
-            settledServices.add(service);
-        }
-        return settled;
+        return settledServices.contains(service)
+                || (roster.settled(service, settleTime, now) && settledServices.add(service));
     }
 
     private void sendOrders(EngineSpec spec, List<Endpoint> live, long now) {
--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -1,5 +1,7 @@
 package hyssopturn.relay;
 
+import com.google.common.flogger.FluentLogger;
+
 import hyssopturn.catalog.Account;
 import hyssopturn.catalog.Catalog;
 import hyssopturn.catalog.Route;
@@ -31,6 +33,9 @@
  * <p>An answer states that the request has not run only if no endpoint may have run it.
  */
 abstract class Call {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    static final int INTERNAL_ERROR = 500;
     static final int BAD_GATEWAY = 502;
     static final int UNAVAILABLE = 503;
     static final int GATEWAY_TIMEOUT = 504;
@@ -95,6 +100,20 @@
     /** Sends the request to an endpoint, or gives up if there is none. */
     abstract void startAttempt();
 
+    /** Starts the next attempt; an unexpected error ends this request alone. */
+    final void attempt() {
+        try {
+            startAttempt();
+        } catch (RuntimeException e) {
+            logger.atSevere().withCause(e).log("request %s failed", admitted.id());
+            respond(
+                    INTERNAL_ERROR,
+                    e.getClass().getSimpleName(),
+                    "error",
+                    MultiMap.caseInsensitiveMultiMap());
+        }
+    }
+
     /** Releases the resources of the attempt in progress, before the next attempt or the end. */
     abstract void release();
 
--- a/src/main/java/hyssopturn/relay/ChainFinder.java
+++ b/src/main/java/hyssopturn/relay/ChainFinder.java
@@ -51,8 +51,15 @@
      * other chain, engines that only other nodes suspect.
      */
     Optional<EngineChain> findAny(Predicate<Endpoint> first, Set<InstanceId> excluded) {
-        return search(usable(), first, excluded)
-                .or(() -> search(roster().usableOrReported(service, now()), first, excluded));
+        List<Endpoint> usable = usable();
+        Optional<EngineChain> found = search(usable, first, excluded);
+        if (found.isPresent()) {
+            return found;
+        }
+        List<Endpoint> withReported = roster().usableOrReported(service, now());
+        return withReported.size() > usable.size()
+                ? search(withReported, first, excluded)
+                : Optional.empty();
     }
 
     /** Finds a chain of engines that have not refused a request recently. */
--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -75,7 +75,7 @@
         }
         connectFailed(endpoint, error);
         if (remaining().toMillis() > 0) {
-            startAttempt();
+            attempt();
         } else {
             giveUp("endpoint unreachable");
         }
@@ -103,7 +103,7 @@
         }
         excluded.add(endpoint.id());
         cancelUpstream();
-        startAttempt();
+        attempt();
     }
 
     /**
@@ -159,7 +159,7 @@
                 && choose().isPresent()
                 && acquireRetry(endpoint, "endpoint failed", Optional.empty())) {
             clearUpstream();
-            startAttempt();
+            attempt();
             return;
         }
         recordDelivery();
@@ -178,7 +178,7 @@
         clearUpstream();
         excluded.add(endpoint.id());
         if (acquireRetry(endpoint, cause, Optional.empty())) {
-            startAttempt();
+            attempt();
         } else {
             giveUp(cause);
         }
--- a/src/main/java/hyssopturn/relay/Relay.java
+++ b/src/main/java/hyssopturn/relay/Relay.java
@@ -31,7 +31,6 @@
     private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
     private static final int TOO_LARGE = 413;
-    private static final int INTERNAL_ERROR = 500;
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -129,7 +128,8 @@
         } catch (RuntimeException e) {
             logger.atSevere().withCause(e).log("request to %s failed", request.path());
             request.response().putHeader("Connection", "close");
-            end(request, "", INTERNAL_ERROR, "error", e.getClass().getSimpleName(), arrivedNanos);
+            String cause = e.getClass().getSimpleName();
+            end(request, "", Call.INTERNAL_ERROR, "error", cause, arrivedNanos);
         }
     }
 
@@ -203,7 +203,7 @@
                         ? new StreamCall(context, request, admitted, engine.get(), stallDetector)
                         : new PlainCall(
                                 context, request, admitted, stallDetector.checks(), serviceLoad);
-        call.startAttempt();
+        call.attempt();
     }
 
     private void refuse(HttpServerRequest request, int status, String cause, long arrivedNanos) {
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -85,7 +85,7 @@
             return;
         }
         connectFailed(first, error);
-        startAttempt();
+        attempt();
     }
 
     /**
@@ -354,7 +354,7 @@
         currentAttemptId++;
         cancelUpstream();
         if (acquireRetry(first, cause, lastFailedEngine)) {
-            startAttempt();
+            attempt();
         } else if (response.headWritten()) {
             abort(cause);
         } else {
--- a/src/main/java/hyssopturn/wire/ConnectionPools.java
+++ b/src/main/java/hyssopturn/wire/ConnectionPools.java
@@ -12,7 +12,6 @@
 import io.vertx.core.http.PoolOptions;
 
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 /**
@@ -39,7 +38,6 @@
 
     private final Vertx vertx;
     private final HttpClientOptions options;
-    private final Duration drainTimeout;
     private final LongSupplier nanos;
     private final HttpClient fresh;
     private final Cache<Address, Pool> pools;
@@ -48,14 +46,12 @@
     static final class Pool {
         private final HttpClient client;
         private final long createdNanos;
-        private final Duration drainTimeout;
         private int calls;
         private boolean discarded;
 
-        private Pool(HttpClient client, long createdNanos, Duration drainTimeout) {
+        private Pool(HttpClient client, long createdNanos) {
             this.client = client;
             this.createdNanos = createdNanos;
-            this.drainTimeout = drainTimeout;
         }
 
         HttpClient client() {
@@ -69,17 +65,17 @@
         /** Ends a call; the last one on a discarded pool closes the pool's connections. */
         synchronized void endCall() {
             calls--;
-            shutDownIfUnused();
+            closeIfUnused();
         }
 
         private synchronized void discard() {
             discarded = true;
-            shutDownIfUnused();
+            closeIfUnused();
         }
 
-        private void shutDownIfUnused() {
+        private void closeIfUnused() {
             if (discarded && calls == 0) {
-                client.shutdown(drainTimeout.toMillis(), TimeUnit.MILLISECONDS);
+                client.close();
             }
         }
     }
@@ -89,15 +85,12 @@
      *
      * @param vertx event loops to run on
      * @param options options of all connections
-     * @param drainTimeout maximum time that calls on a discarded pool may still take
      * @param nanos monotonic time in nanoseconds
      */
-    ConnectionPools(
-            Vertx vertx, HttpClientOptions options, Duration drainTimeout, LongSupplier nanos) {
+    ConnectionPools(Vertx vertx, HttpClientOptions options, LongSupplier nanos) {
         this.vertx = vertx;
         this.options =
                 new HttpClientOptions(options).setKeepAlive(true).setKeepAliveTimeout(IDLE_SECONDS);
-        this.drainTimeout = drainTimeout;
         this.nanos = nanos;
         fresh = client(new HttpClientOptions(options).setKeepAlive(false));
         pools =
@@ -131,7 +124,7 @@
     }
 
     private Pool newPool() {
-        return new Pool(client(options), nanos.getAsLong(), drainTimeout);
+        return new Pool(client(options), nanos.getAsLong());
     }
 
     /**
--- a/src/main/java/hyssopturn/wire/HttpCaller.java
+++ b/src/main/java/hyssopturn/wire/HttpCaller.java
@@ -44,7 +44,7 @@
                         .setConnectTimeout((int) connectTimeout.toMillis())
                         .setTcpNoDelay(true)
                         .setTcpKeepAlive(true);
-        pools = new ConnectionPools(vertx, options, timeout, System::nanoTime);
+        pools = new ConnectionPools(vertx, options, System::nanoTime);
         this.timeout = timeout;
     }
 
@@ -118,6 +118,7 @@
         return answer;
     }
 
+    /** Returns the client for a call; a pool stays open at least until the call has its answer. */
     private HttpClient client(Address to, Dial dial, CompletableFuture<Buffer> answer) {
         if (dial == Dial.POOLED) {
             ConnectionPools.Pool pool = pools.beginCall(to);
--- a/src/test/java/hyssopturn/platform/MalformedRequestTest.java
+++ b/src/test/java/hyssopturn/platform/MalformedRequestTest.java
@@ -20,6 +20,7 @@
     private static final String EVENTS = "id: 0\ndata: t\n\n";
     private static final int INTERNAL_ERROR = 500;
     private static final int ANSWER_SECONDS = 5;
+    private static final long DEADLINE_MILLIS = 200;
 
     private final RelayHarness harness = new RelayHarness();
 
@@ -71,4 +72,16 @@
         harness.decodingFails(false);
         assertThat(harness.call("/look/x", Map.of()).body(), equalTo("found"));
     }
+
+    @Test
+    void unexpectedErrorInTheChoiceOfAChainEndsTheRequestOnce() throws InterruptedException {
+        harness.chainSearchFails(true);
+        Map<String, String> shortDeadline =
+                Map.of("Hyssopturn-Deadline-Ms", String.valueOf(DEADLINE_MILLIS));
+        assertThat(harness.call("/write/x", shortDeadline).status(), equalTo(INTERNAL_ERROR));
+        Thread.sleep(2 * DEADLINE_MILLIS);
+        assertThat(harness.outcomes(), equalTo(List.of("error")));
+        harness.chainSearchFails(false);
+        assertThat(harness.call("/write/x", Map.of()).body(), equalTo(EVENTS));
+    }
 }
--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -21,6 +21,7 @@
 import hyssopturn.relay.RelaySettings;
 import hyssopturn.relay.RetryBudget;
 import hyssopturn.relay.RoutingState;
+import hyssopturn.trace.TraceEvent;
 import hyssopturn.trace.TraceLog;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
@@ -50,6 +51,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.random.RandomGenerator;
 
 /** Test harness: a relay on loopback between one caller and workers that are simulated by tests. */
 final class RelayHarness implements AutoCloseable {
@@ -94,6 +96,8 @@
     private final long startNanos = System.nanoTime();
     private volatile long offsetNanos;
     private volatile boolean decodingFails;
+    private volatile boolean chainSearchFails;
+    private final List<TraceEvent> events = Collections.synchronizedList(new ArrayList<>());
 
     /** An answer as the caller received it; complete unless the connection was cut off. */
     record Answer(int status, MultiMap headers, String body, boolean complete) {}
@@ -105,7 +109,7 @@
     /** Starts a relay with or without a configuration. */
     RelayHarness(boolean configured) {
         Clock clock = clock();
-        trace = new TraceLog("test", clock, OutputStream.nullOutputStream(), 1_000);
+        trace = new TraceLog("test", clock, OutputStream.nullOutputStream(), 1_000, events::add);
         Catalog catalog = CatalogDecoder.decode(Bytes.utf8(CONFIG));
         if (configured) {
             knowledge.update(catalog);
@@ -118,7 +122,7 @@
                         clock,
                         new SplittableRandom(1),
                         new RetryBudget(0.2, Duration.ofSeconds(10).toNanos(), 100, 1),
-                        new EngineLoad(new SplittableRandom(1), 10),
+                        new EngineLoad(loadNoise(), 10),
                         new InterZoneBudget(1),
                         (address, reference) ->
                                 CompletableFuture.completedFuture(
@@ -189,6 +193,31 @@
         };
     }
 
+    private RandomGenerator loadNoise() {
+        SplittableRandom noise = new SplittableRandom(1);
+        return () -> {
+            if (chainSearchFails) {
+                throw new IllegalStateException("unexpected");
+            }
+            return noise.nextLong();
+        };
+    }
+
+    /** Sets whether the choice of a chain fails with an unexpected error. */
+    void chainSearchFails(boolean fails) {
+        chainSearchFails = fails;
+    }
+
+    /** Returns the logged outcomes of requests, in the order in which they ended. */
+    List<String> outcomes() {
+        synchronized (events) {
+            return events.stream()
+                    .filter(TraceEvent.Ended.class::isInstance)
+                    .map(e -> ((TraceEvent.Ended) e).outcome())
+                    .toList();
+        }
+    }
+
     /** Sets whether decoding the headers of requests fails with an unexpected error. */
     void decodingFails(boolean fails) {
         decodingFails = fails;
