A node that stops exits only when its answers have left it and its connections are closed

What callers saw: at a planned stop a caller on a slow link got the beginning of an answer and then the end of the connection. A caller on a kept connection could send a request to a node that was past its drain; the request was read and the connection ended without an answer.

Cause: the drain counted a request as ended in the response's end handler. Vert.x 5.0.7 runs it as soon as the answer has been handed to Netty, so the last bytes may still wait in this process for the link. And nothing closed the callers' connections: they ended with the JVM, some time after anybody last looked at them.

Now the server itself is shut down after the minimum time: it stops listening, closes connections without a request at once, closes each other one when its answer has been written to the socket, and the drain completes when none is left or the maximum time has passed.

Evidence, DrainTest on the old code (both with a real socket): answerThatTheCallerHasNotReadYetIsNotCutOff: EOFException in the body of 7,000,000 bytes (receive buffer of 4 KB, read 1 s after the drain's end) idleConnectionIsClosedBeforeTheProcessExits: Expected: <true> but: was <false> Both pass now. The two other tests of the class pass on both; they hold that a request in progress, and one whose second half arrives during the drain, are answered. The end of the process is simulated by closing the node's Vert.x.

--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -23,10 +23,10 @@
 
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
-import io.vertx.core.Future;
 import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 
@@ -35,6 +35,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 /** A node on the users' platform that relays requests of callers to endpoints on one event loop. */
 public final class RelayNode {
@@ -53,8 +54,6 @@
     /** Minimum interval between reads of a stream, however short the platform's bounds are. */
     private static final Duration MIN_READ_INTERVAL = Duration.ofMillis(250);
 
-    private static final Duration DRAIN_POLL_INTERVAL = Duration.ofMillis(50);
-
     /** Idle timeout of a caller's connection; longer than the timeout of any route. */
     private static final Duration CALLER_IDLE_TIMEOUT = Duration.ofSeconds(60);
 
@@ -86,6 +85,7 @@
     private final RetryBudget retries;
     private final EngineLoad load;
     private final InterZoneBudget pipes;
+    private final HttpServer callers;
     private double share;
 
     /**
@@ -144,6 +144,7 @@
                                 meters,
                                 relaySettings(settings)),
                         adapter.engines());
+        callers = server(relay::handle);
         config =
                 follower(
                         adapter,
@@ -166,16 +167,19 @@
                         FaultReport.STREAM,
                         new KeyedFollower.Pacing(FAULT_READ_WAIT, FAULT_READ_PAUSE),
                         faultReporter);
-        layers =
-                new LayerController(
-                        knowledge::catalog,
-                        knowledge.roster(),
-                        endpointReadInterval(),
-                        adapter.duties(),
-                        adapter.engines(),
-                        clock,
-                        trace,
-                        this::dutiesAssigned);
+        layers = layers(adapter);
+    }
+
+    private LayerController layers(PlatformAdapter adapter) {
+        return new LayerController(
+                knowledge::catalog,
+                knowledge.roster(),
+                endpointReadInterval(),
+                adapter.duties(),
+                adapter.engines(),
+                clock,
+                trace,
+                this::dutiesAssigned);
     }
 
     private static Duration max(Duration a, Duration b) {
@@ -241,9 +245,9 @@
                     trace.record(
                             new TraceEvent.Started(
                                     platform.zone(), platform.front().toString(), "0.1.0"));
-                    listen(platform.front(), relay::handle);
-                    listen(platform.readiness(), this::readiness);
-                    listen(platform.metrics(), this::metrics);
+                    listen(callers, platform.front());
+                    listen(server(this::readiness), platform.readiness());
+                    listen(server(this::metrics), platform.metrics());
                     config.start();
                     endpoints.start();
                     faults.start();
@@ -252,7 +256,7 @@
                 });
     }
 
-    private void listen(Address address, Handler<HttpServerRequest> handler) {
+    private HttpServer server(Handler<HttpServerRequest> handler) {
         HttpServerOptions options =
                 new HttpServerOptions()
                         .setTcpNoDelay(true)
@@ -263,16 +267,18 @@
                         .setPerMessageWebSocketCompressionSupported(false)
                         .setHttp2ClearTextEnabled(false)
                         .setHandle100ContinueAutomatically(true);
-        Future<?> listening =
-                vertx.createHttpServer(options)
-                        .requestHandler(handler)
-                        .connectionHandler(c -> c.exceptionHandler(this::connectionFailed))
-                        .listen(address.port(), address.host());
-        listening.onFailure(
-                e ->
-                        trace.record(
-                                new TraceEvent.Dependency(
-                                        "listen " + address, "lost", String.valueOf(e))));
+        return vertx.createHttpServer(options)
+                .requestHandler(handler)
+                .connectionHandler(c -> c.exceptionHandler(this::connectionFailed));
+    }
+
+    private void listen(HttpServer server, Address address) {
+        server.listen(address.port(), address.host())
+                .onFailure(
+                        e ->
+                                trace.record(
+                                        new TraceEvent.Dependency(
+                                                "listen " + address, "lost", String.valueOf(e))));
     }
 
     /**
@@ -303,11 +309,13 @@
     }
 
     /**
-     * Shuts down gracefully: reports the node as not ready and finishes requests in progress.
+     * Shuts down gracefully: reports the node as not ready, finishes requests in progress and
+     * closes the callers' connections.
      *
      * @param minimum time during which requests on open connections are still answered
      * @param maximum time after which the node stops waiting for requests in progress
-     * @return a future that completes when no request is in progress or the maximum time has passed
+     * @return a future that completes when every answer has been sent and every caller's connection
+     *     is closed, or the maximum time has passed
      */
     public CompletableFuture<Void> drain(Duration minimum, Duration maximum) {
         CompletableFuture<Void> done = new CompletableFuture<>();
@@ -316,21 +324,26 @@
                     trace.record(new TraceEvent.Stopping("draining", relay.running()));
                     relay.drain();
                     layers.stop();
-                    awaitIdle(clock.nanos(), minimum, maximum, done);
+                    clock.after(minimum, () -> closeCallers(maximum.minus(minimum), done));
+                    clock.after(maximum, () -> stopped(done));
                 });
         return done;
     }
 
-    private void awaitIdle(
-            long startNanos, Duration minimum, Duration maximum, CompletableFuture<Void> done) {
-        long elapsedNanos = clock.nanos() - startNanos;
-        boolean idle = relay.running() == 0 && elapsedNanos >= minimum.toNanos();
-        if (idle || elapsedNanos >= maximum.toNanos()) {
+    /**
+     * Closes callers' connections: those without a request at once, each other one when the bytes
+     * of its answer have left this process.
+     */
+    private void closeCallers(Duration limit, CompletableFuture<Void> done) {
+        callers.shutdown(limit.toMillis(), TimeUnit.MILLISECONDS)
+                .onComplete(closed -> stopped(done));
+    }
+
+    private void stopped(CompletableFuture<Void> done) {
+        if (!done.isDone()) {
             trace.record(new TraceEvent.Stopping("stopped", relay.running()));
             done.complete(null);
-            return;
         }
-        clock.after(DRAIN_POLL_INTERVAL, () -> awaitIdle(startNanos, minimum, maximum, done));
     }
 
     /**
--- /dev/null
+++ b/src/test/java/hyssopturn/platform/ScriptedPlatform.java
@@ -0,0 +1,221 @@
+package hyssopturn.platform;
+
+import hyssopturn.model.Address;
+import hyssopturn.model.Bytes;
+import hyssopturn.node.RelayNode;
+import hyssopturn.node.RelayNodeSettings;
+
+import io.vertx.core.Handler;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.Collections;
+import java.util.List;
+
+/**
+ * Test harness: a whole node on a platform whose configurations are scripted by tests, with one
+ * plain worker. Platform and node run on event loops of their own.
+ */
+final class ScriptedPlatform implements AutoCloseable {
+    private static final String HOST = "127.0.0.1";
+    private static final Duration DRAIN_MINIMUM = Duration.ofSeconds(1);
+    private static final Duration DRAIN_MAXIMUM = Duration.ofSeconds(6);
+
+    private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    private final Vertx nodeVertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    private final List<Bytes> configs = Collections.synchronizedList(new ArrayList<>());
+    private final Handler<HttpServerRequest> worker;
+    private final Address store;
+    private final Address front = freeAddress();
+    private final RelayNode node;
+    private boolean exited;
+
+    /**
+     * Starts the platform and a node.
+     *
+     * @param config the first configuration
+     * @param worker the plain worker of the service "records"
+     */
+    ScriptedPlatform(String config, Handler<HttpServerRequest> worker) {
+        this.worker = worker;
+        configs.add(Bytes.utf8(config));
+        int port =
+                vertx.createHttpServer(new HttpServerOptions().setMaxInitialLineLength(1 << 16))
+                        .requestHandler(this::handle)
+                        .listen(0, HOST)
+                        .await()
+                        .actualPort();
+        store = new Address(HOST, port);
+        node = new RelayNode(nodeVertx, settings(), own(), OutputStream.nullOutputStream());
+        node.start();
+        awaitListening();
+    }
+
+    private void awaitListening() {
+        while (true) {
+            try (Socket probe = new Socket()) {
+                probe.connect(new InetSocketAddress(front.host(), front.port()));
+                return;
+            } catch (IOException e) {
+                Thread.onSpinWait();
+            }
+        }
+    }
+
+    private PlatformSettings settings() {
+        return new PlatformSettings(
+                "n1",
+                "a",
+                1,
+                front,
+                freeAddress(),
+                freeAddress(),
+                store,
+                Duration.ofSeconds(8),
+                Duration.ofSeconds(2),
+                Duration.ofSeconds(3),
+                0.2,
+                Duration.ofSeconds(10),
+                198,
+                1);
+    }
+
+    private static RelayNodeSettings own() {
+        Duration never = Duration.ofMinutes(1);
+        return new RelayNodeSettings(
+                Duration.ofMillis(300), never, never, never, never, Duration.ofSeconds(1), 1, 100);
+    }
+
+    private static Address freeAddress() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new Address(HOST, socket.getLocalPort());
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Returns the address at which the node accepts callers. */
+    Address front() {
+        return front;
+    }
+
+    /** Appends a configuration to its stream. */
+    void publish(String config) {
+        configs.add(Bytes.utf8(config));
+    }
+
+    /** Runs a task on the platform's event loop after a delay. */
+    void later(long delayMillis, Runnable task) {
+        vertx.setTimer(delayMillis, timer -> task.run());
+    }
+
+    /** Drains the node as a process does that is told to stop, and returns when it would exit. */
+    void drain() {
+        node.drain(DRAIN_MINIMUM, DRAIN_MAXIMUM).join();
+    }
+
+    /** Ends the node as the end of its process does, whatever its connections have not sent yet. */
+    void exit() {
+        if (!exited) {
+            exited = true;
+            node.close();
+            nodeVertx.close().await();
+        }
+    }
+
+    private void handle(HttpServerRequest request) {
+        switch (request.path()) {
+            case "/v1/log-newest" -> request.response().end(newest(request.getParam("Topic")));
+            case "/v1/log-read" -> read(request);
+            case "/v1/log-join" ->
+                    request.response()
+                            .end(
+                                    new JsonObject()
+                                            .put("Generation", 1)
+                                            .put("parts", new JsonArray())
+                                            .toBuffer());
+            case "/v1/log-leave", "/v1/log-append" -> request.response().end("{}");
+            default -> worker.handle(request);
+        }
+    }
+
+    private Buffer newest(String topic) {
+        JsonArray items = new JsonArray();
+        long end = 0;
+        switch (topic) {
+            case "keyed.op" -> {
+                end = configs.size();
+                items.add(item("config", configs.getLast(), end - 1));
+            }
+            case "keyed.servers" -> {
+                end = 1;
+                items.add(item("plain-1", Bytes.utf8(announcement()), 0));
+            }
+            default -> {
+                // the node's own streams are empty
+            }
+        }
+        return new JsonObject().put("Items", items).put("End", end).toBuffer();
+    }
+
+    private static JsonObject item(String key, Bytes value, long offset) {
+        return new JsonObject()
+                .put("Key", key)
+                .put("Value", Base64.getEncoder().encodeToString(value.toArray()))
+                .put("Offset", offset);
+    }
+
+    private String announcement() {
+        return new JsonObject()
+                .put("Service", "records")
+                .put("Address", store.toString())
+                .put("Zone", "a")
+                .put("Version", 1)
+                .put("Slots", 1_000)
+                .put("State", "ready")
+                .put("born", 1)
+                .put("Sequence", 1)
+                .encode();
+    }
+
+    private void read(HttpServerRequest request) {
+        long from = Long.parseLong(request.getParam("From"));
+        boolean operator = request.getParam("Topic").equals("keyed.op");
+        if (operator && from < configs.size()) {
+            Buffer records = Buffer.buffer().appendLong(configs.size()).appendLong(from);
+            configs.subList((int) from, configs.size()).forEach(c -> append(records, c));
+            request.response().end(records);
+            return;
+        }
+        vertx.setTimer(
+                20,
+                timer -> request.response().end(Buffer.buffer().appendLong(from).appendLong(from)));
+    }
+
+    private static void append(Buffer records, Bytes config) {
+        records.appendInt(1 + "config".length() + config.size())
+                .appendByte((byte) "config".length())
+                .appendString("config")
+                .appendBytes(config.toArray());
+    }
+
+    @Override
+    public void close() {
+        exit();
+        vertx.close().await();
+    }
+}
