An error in a listener does not end the reads of its stream

What callers would see: a node that never learns of another configuration or endpoint. It sends requests to endpoints that are gone and answers requests on new routes with 503, until it is restarted, and no log line says why.

Cause: KeyedFollower calls the listener inside whenComplete of the read. What the listener throws completes a future that nobody looks at, and the next read is scheduled only after the listener has returned.

Now an error is logged with its stack and the next read follows. A stack overflow is caught too, since it is the likely error of decoding odd input.

KeyedFollowerTest.errorInTheListenerDoesNotEndTheReads on the old code: Expected: iterable containing ["a"] but: no item was "a" No run has shown that the listeners of today throw; they isolate entries that cannot be decoded.

--- a/src/main/java/hyssopturn/log/KeyedFollower.java
+++ b/src/main/java/hyssopturn/log/KeyedFollower.java
@@ -118,14 +118,23 @@
         backoff.reset();
         failing = false;
         next = page.next();
-        if (snapshot) {
-            listener.snapshot(page);
-        } else {
-            listener.records(page);
-        }
+        deliver(snapshot, page);
         clock.after(snapshot ? Duration.ZERO : pacing.pause(), this::read);
     }
 
+    /** Hands records to the listener, whose error must not end the reads. */
+    private void deliver(boolean snapshot, KeyedLog.Page page) {
+        try {
+            if (snapshot) {
+                listener.snapshot(page);
+            } else {
+                listener.records(page);
+            }
+        } catch (RuntimeException | StackOverflowError e) {
+            logger.atSevere().withCause(e).log("stream=%s: records not applied", stream);
+        }
+    }
+
     private void readFailed(Throwable error) {
         if (stopped) {
             return;
--- a/src/test/java/hyssopturn/log/KeyedFollowerTest.java
+++ b/src/test/java/hyssopturn/log/KeyedFollowerTest.java
@@ -28,6 +28,7 @@
     private final VirtualClock clock = new VirtualClock(0);
     private final FakeLog log = new FakeLog();
     private final List<String> received = new ArrayList<>();
+    private Optional<Error> listenerError = Optional.empty();
     private final KeyedFollower follower =
             follower(new KeyedFollower.Pacing(Duration.ZERO, Duration.ofSeconds(1)));
 
@@ -46,6 +47,9 @@
 
                     @Override
                     public void records(KeyedLog.Page page) {
+                        if (listenerError.isPresent()) {
+                            throw listenerError.get();
+                        }
                         page.entries().forEach(e -> received.add(e.key()));
                     }
 
@@ -154,6 +158,19 @@
         }
     }
 
+    @Test
+    void errorInTheListenerDoesNotEndTheReads() {
+        follower.start();
+        clock.advance(Duration.ofSeconds(1));
+        listenerError = Optional.of(new StackOverflowError());
+        log.append("odd");
+        clock.advance(Duration.ofSeconds(2));
+        listenerError = Optional.empty();
+        log.append("a");
+        clock.advance(Duration.ofSeconds(2));
+        assertThat(received, contains("a"));
+    }
+
     @Test
     void readsArePaced() {
         follower.start();
