A long request line within the operator's header limit is not refused with 414

What callers saw: a request with a path or query of over 4,096 bytes got 414 and the end of its connection, though the operator allows heads of 16,384.

Cause: Vert.x bounds the request line by itself (4,096 bytes by default); only the bound of the headers had been raised.

KeptConnectionTest.requestWithALongHeadWithinTheLimitIsServed on the old code, for a path and for a query of 8,000 characters: Expected: <200> but: was <414>.

The rest of KeptConnectionTest passes on the old code and refutes that these leave a connection in a bad state: requests behind a running one, the one after 413, 404 and 401, Expect: 100-continue, HTTP/1.0, Connection: close.

--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -263,6 +263,7 @@
                         .setAcceptBacklog(ACCEPT_BACKLOG)
                         .setIdleTimeout((int) CALLER_IDLE_TIMEOUT.toSeconds())
                         .setMaxHeaderSize(HttpClients.MAX_HEADER_BYTES)
+                        .setMaxInitialLineLength(HttpClients.MAX_HEADER_BYTES)
                         .setPerFrameWebSocketCompressionSupported(false)
                         .setPerMessageWebSocketCompressionSupported(false)
                         .setHttp2ClearTextEnabled(false)
