A refusal that bears another request's id proves nothing

Callers saw 503 ("not run, try again") for a request that must run once and that an endpoint had run, or the request was sent to a second endpoint and ran twice. Cause: StreamCall and PlainCall believed any answer with Hyssopturn-Not-Executed, and any 421, before they compared the id that endpoints echo. A refusal of another request, written once more by a faulty endpoint, was taken for proof. A 200 that bears the header of a refusal was also taken for one, and the request was sent elsewhere.

--- a/src/main/java/hyssopturn/platform/PlatformHeaders.java
+++ b/src/main/java/hyssopturn/platform/PlatformHeaders.java
@@ -31,6 +31,7 @@
     private static final String FAULT_ADDRESS = "At-Server";
     private static final String LAST_EVENT_ID = "Last-Event-Id";
     private static final String HOST = "Host";
+    private static final int CLIENT_ERROR = 400;
     private static final int MISDIRECTED = 421;
 
     /** Limit of decoded counts, so that sums and products of them do not overflow. */
@@ -95,7 +96,7 @@
     public EndpointReply decodeReply(int status, MultiMap headers) {
         return new EndpointReply(
                 status,
-                headers.contains(NOT_EXECUTED) || status == MISDIRECTED,
+                status == MISDIRECTED || (status >= CLIENT_ERROR && headers.contains(NOT_EXECUTED)),
                 headers.contains(SIGNATURE),
                 Optional.ofNullable(headers.get(ATTEMPT_ID)),
                 Optional.ofNullable(headers.get(FAULT_ADDRESS)).flatMap(PlatformHeaders::address));
--- a/src/main/java/hyssopturn/relay/EndpointReply.java
+++ b/src/main/java/hyssopturn/relay/EndpointReply.java
@@ -34,6 +34,22 @@
         return status >= SUCCESS_LOW && status <= SUCCESS_HIGH;
     }
 
+    /**
+     * Returns whether the endpoint states that it has not run a request and will not run it. The
+     * refusal of another request proves nothing about this one. A connection carries one request
+     * only, so a refusal without an id is this request's.
+     *
+     * @param id id of the request
+     * @return true if the answer is a refusal and has no other request's id
+     */
+    public boolean refuses(Optional<String> id) {
+        return notRun && !ofOtherRequest(id);
+    }
+
+    private boolean ofOtherRequest(Optional<String> id) {
+        return requestId.isPresent() && !requestId.equals(id);
+    }
+
     /**
      * Returns whether the status implies that the request did not run, while the endpoint does not
      * state this. If such a status were passed on, the caller might send the request again although
@@ -61,6 +77,6 @@
      * @return true if the answer is signed and has no other request's id
      */
     public boolean matches(Optional<String> id) {
-        return signed && (requestId.isEmpty() || requestId.equals(id));
+        return signed && !ofOtherRequest(id);
     }
 }
--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -124,7 +124,7 @@
         if (ended()) {
             return;
         }
-        if (reply.notRun()) {
+        if (reply.refuses(admitted.headers().id())) {
             opened.reset();
             markNotRun(earlierMayHaveRun);
             handleFailure(endpoint, opened, "endpoint refused");
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -117,7 +117,7 @@
         }
         EndpointReply reply =
                 context.headerCodec().decodeReply(answer.statusCode(), answer.headers());
-        if (reply.notRun()) {
+        if (reply.refuses(admitted.headers().id())) {
             markNotRun(earlierMayHaveRun);
             InstanceId refusing =
                     reply.failedEngine()
