An interim answer with a signature is not passed on as the final one

A caller got status 102 as the whole answer when a faulty endpoint put its signature on an interim answer and the final answer followed. Vert.x passes on interim answers other than 100 and 103 as if they were final, and PlainCall passed on any signed answer. Such an answer is now treated as foreign: what the endpoint did is unknown.

Evidence: MisplacedRefusalTest.beforeTheFinalAnswerIsNoAnswer failed on the old code with 102 and 199 (103 passed).

--- a/src/main/java/hyssopturn/relay/EndpointReply.java
+++ b/src/main/java/hyssopturn/relay/EndpointReply.java
@@ -74,9 +74,9 @@
      * Returns whether the answer belongs to a request and comes from an endpoint.
      *
      * @param id id of the request
-     * @return true if the answer is signed and has no other request's id
+     * @return true if the answer is signed, final, and has no other request's id
      */
     public boolean matches(Optional<String> id) {
-        return signed && !ofOtherRequest(id);
+        return signed && status >= SUCCESS_LOW && !ofOtherRequest(id);
     }
 }
--- a/src/test/java/hyssopturn/platform/MisplacedRefusalTest.java
+++ b/src/test/java/hyssopturn/platform/MisplacedRefusalTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import java.util.Map;
@@ -144,6 +145,18 @@
             }
             assertThat(connections.get(), equalTo(3));
         }
+
+        @ParameterizedTest
+        @CsvSource({"102", "103", "199"})
+        void beforeTheFinalAnswerIsNoAnswer(int status) {
+            String answer =
+                    "HTTP/1.1 %d Early\r\nHyssopturn-Server-Seal: s\r\n\r\n".formatted(status)
+                            + "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
+                            + "Hyssopturn-Server-Seal: s\r\n\r\ndone";
+            harness.announce("s1", rawWorker(new AtomicInteger(), answer), Optional.empty());
+            int received = harness.call("/book/x", Map.of()).status();
+            assertThat(received == OK || received == BAD_GATEWAY, equalTo(true));
+        }
     }
 
     @Nested
