A stream is continued only by its own next events, or visibly broken

Callers found text of an error in the middle of their stream, or a stream that ended as if it were complete though events were missing. Cause, after a stream had begun and broken off: (1) StreamProgress delivered any block without an id, so the text of an error, or a whole head of an answer that a faulty engine wrote into its own stream, went through; (2) StreamCall.end() took every orderly end of the next engine's answer for the end of the stream, since the head had been sent: an empty answer, a 204, a replay that stopped before the caller's last event; (3) the content type of the next answer was not looked at.

Comments are passed on in their place and left out before the continuation; - an orderly end counts only if the attempt itself has sent the caller's last event. An empty answer to a resumed request shows nothing: it may be the right one after the last event, but the number of events is not known, so the stricter rule is taken and the caller sees a broken stream; - a continuation must have the media type of the head that the caller has. Unchanged and now held by tests: an error of any status, an unproved refusal, an answer without signature or to another request after a begun stream; a stream without length is complete if its connection is closed after an event, and broken if that ends within an event or by a reset.

--- a/src/main/java/hyssopturn/relay/EventFramer.java
+++ b/src/main/java/hyssopturn/relay/EventFramer.java
@@ -4,12 +4,14 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.OptionalLong;
 
 /** Splits the bytes of an event stream into complete events. */
 final class EventFramer {
     private static final String ID = "id:";
+    private static final String COMMENT = ":";
 
     /** Maximum size of an event, in bytes; far above the events of engines. */
     private static final int MAX_EVENT_BYTES = 1_000_000;
@@ -19,8 +21,8 @@
 
     private Buffer pending = Buffer.buffer();
 
-    /** A complete event with the blank line that ends it. */
-    record Event(OptionalLong id, Buffer bytes) {}
+    /** A complete event or comment with the blank line that ends it. */
+    record Event(OptionalLong id, boolean comment, Buffer bytes) {}
 
     /** Adds bytes of the stream and returns the events that they complete. */
     List<Event> feed(Buffer bytes) {
@@ -33,8 +35,8 @@
                 continue;
             }
             if (blank(all, lineBegin, i)) {
-                Buffer event = all.getBuffer(begin, i + 1);
-                events.add(new Event(id(event), event));
+                Buffer block = all.getBuffer(begin, i + 1);
+                events.add(event(block));
                 begin = i + 1;
             }
             lineBegin = i + 1;
@@ -57,8 +59,15 @@
         return pending.length() > MAX_EVENT_BYTES;
     }
 
-    private static OptionalLong id(Buffer event) {
-        for (String line : event.toString(StandardCharsets.UTF_8).split("\n", -1)) {
+    private static Event event(Buffer block) {
+        String[] lines = block.toString(StandardCharsets.UTF_8).split("\n", -1);
+        boolean comment =
+                Arrays.stream(lines).allMatch(line -> line.isBlank() || line.startsWith(COMMENT));
+        return new Event(id(lines), comment, block);
+    }
+
+    private static OptionalLong id(String[] lines) {
+        for (String line : lines) {
             if (line.startsWith(ID)) {
                 return number(line.substring(ID.length()).strip());
             }
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -8,6 +8,7 @@
 import hyssopturn.port.EngineControl;
 import hyssopturn.trace.TraceEvent;
 
+import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -16,6 +17,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -64,6 +66,7 @@
         chain = found;
         context.load().add(found.get(), chainFinder.tokens());
         framer = new EventFramer();
+        progress.attemptStarted();
         wait.attemptStarted(now());
         int attemptId = ++currentAttemptId;
         Endpoint first = found.get().first().engine();
@@ -142,11 +145,24 @@
             handleStatus(attemptId, reply, answer);
             return;
         }
+        if (response.headWritten() && !sameContentType(answer)) {
+            recover(attemptId, "other content type");
+            return;
+        }
         answer.handler(bytes -> handleBytes(attemptId, answer, bytes));
         answer.endHandler(v -> end(attemptId));
         answer.exceptionHandler(e -> recover(attemptId, "stream cut off"));
     }
 
+    private boolean sameContentType(HttpClientResponse answer) {
+        return mediaType(answer.headers()).equals(mediaType(response.headers()));
+    }
+
+    private static String mediaType(MultiMap headers) {
+        String type = Optional.ofNullable(headers.get("Content-Type")).orElse("");
+        return type.replaceFirst(";.*", "").strip().toLowerCase(Locale.ROOT);
+    }
+
     /** Passes on an error that the engine reports, unless the request can be retried. */
     private void handleStatus(int attemptId, EndpointReply reply, HttpClientResponse answer) {
         if ((reply.failure() && admitted.route().retryPolicy().allowsRetry())
@@ -178,7 +194,7 @@
         }
         Buffer ready = Buffer.buffer();
         for (EventFramer.Event event : framer.feed(bytes)) {
-            switch (progress.advance(event.id())) {
+            switch (progress.advance(event)) {
                 case DELIVER -> ready.appendBuffer(event.bytes());
                 case SKIP -> {
                     // the caller received the event from an earlier chain
@@ -188,6 +204,11 @@
                     recover(attemptId, "event missing");
                     return;
                 }
+                case UNNUMBERED -> {
+                    deliver(answer, ready);
+                    recover(attemptId, "event without id");
+                    return;
+                }
             }
         }
         deliver(answer, ready);
@@ -223,7 +244,7 @@
         if (stale(attemptId)) {
             return;
         }
-        if (framer.incomplete() || !response.headWritten()) {
+        if (framer.incomplete() || !progress.upToDate() || !response.headWritten()) {
             recover(attemptId, "stream torn");
             return;
         }
--- a/src/main/java/hyssopturn/relay/StreamProgress.java
+++ b/src/main/java/hyssopturn/relay/StreamProgress.java
@@ -5,6 +5,7 @@
 /** Tracks which events of a stream the caller has received. */
 final class StreamProgress {
     private OptionalLong last;
+    private boolean upToDate;
 
     /** Starts after the last event that the caller reports as received, if any. */
     StreamProgress(OptionalLong lastReceived) {
@@ -15,28 +16,51 @@
     enum Action {
         /** Deliver the event to the caller. */
         DELIVER,
-        /** Skip the event, since the caller already has it. */
+        /** Skip the event, since the caller already has it or does not need it. */
         SKIP,
         /** Do not deliver the event, since events before it are missing. */
-        GAP
+        GAP,
+        /** Do not deliver the event, since nothing shows its place in the stream. */
+        UNNUMBERED
+    }
+
+    /** Starts an attempt, whose events are to follow the last one that the caller has. */
+    void attemptStarted() {
+        upToDate = false;
     }
 
     /** Decides what to do with the next event of an endpoint, and records its delivery. */
-    Action advance(OptionalLong id) {
-        if (id.isEmpty()) {
-            return Action.DELIVER;
+    Action advance(EventFramer.Event event) {
+        if (event.comment()) {
+            return upToDate || last.isEmpty() ? Action.DELIVER : Action.SKIP;
         }
-        long event = id.getAsLong();
+        if (event.id().isEmpty() || event.id().getAsLong() < 0) {
+            return Action.UNNUMBERED;
+        }
+        return advance(event.id().getAsLong());
+    }
+
+    private Action advance(long event) {
         if (last.isPresent() && event <= last.getAsLong()) {
+            upToDate = event == last.getAsLong();
             return Action.SKIP;
         }
         if (last.isPresent() && event != last.getAsLong() + 1) {
             return Action.GAP;
         }
-        last = id;
+        last = OptionalLong.of(event);
+        upToDate = true;
         return Action.DELIVER;
     }
 
+    /**
+     * Returns whether the attempt has sent the last event that the caller has. The end of an
+     * attempt that has not come so far shows nothing about the end of the stream.
+     */
+    boolean upToDate() {
+        return upToDate;
+    }
+
     /** Returns the id of the last event that the caller has. */
     OptionalLong last() {
         return last;
