A request that still runs at the end of the grace period is answered

What callers saw: the end of the connection, and nothing of what became of the request, when the request outlasted the grace period of a planned stop.

Cause: the node waited for its requests until its maximum time and then exited or closed the connections, whatever was still running.

Now each request whose answer has not begun is ended 250 ms earlier, as for a timeout: with a refusal if it has certainly not run, else with 502. Streams that have begun may go on to the end; only a closed connection can end them.

--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -54,6 +54,9 @@
     /** Minimum interval between reads of a stream, however short the platform's bounds are. */
     private static final Duration MIN_READ_INTERVAL = Duration.ofMillis(250);
 
+    /** Part of the drain's maximum time that is left for sending the last answers. */
+    private static final Duration LAST_ANSWERS_TIME = Duration.ofMillis(250);
+
     /** Idle timeout of a caller's connection; longer than the timeout of any route. */
     private static final Duration CALLER_IDLE_TIMEOUT = Duration.ofSeconds(60);
 
@@ -186,6 +189,10 @@
         return a.compareTo(b) > 0 ? a : b;
     }
 
+    private static Duration min(Duration a, Duration b) {
+        return a.compareTo(b) < 0 ? a : b;
+    }
+
     private KeyedFollower follower(
             PlatformAdapter adapter,
             String stream,
@@ -313,19 +320,22 @@
      * Shuts down gracefully: reports the node as not ready, finishes requests in progress and
      * closes the callers' connections.
      *
-     * @param minimum time during which requests on open connections are still answered
+     * @param minimum time during which requests on open connections are still answered, at most
+     *     half of the maximum
      * @param maximum time after which the node stops waiting for requests in progress
      * @return a future that completes when every answer has been sent and every caller's connection
      *     is closed, or the maximum time has passed
      */
     public CompletableFuture<Void> drain(Duration minimum, Duration maximum) {
         CompletableFuture<Void> done = new CompletableFuture<>();
+        Duration serving = min(minimum, maximum.dividedBy(2));
         vertx.runOnContext(
                 v -> {
                     trace.record(new TraceEvent.Stopping("draining", relay.running()));
                     relay.drain();
                     layers.stop();
-                    clock.after(minimum, () -> closeCallers(maximum.minus(minimum), done));
+                    clock.after(serving, () -> closeCallers(maximum.minus(serving), done));
+                    clock.after(maximum.minus(LAST_ANSWERS_TIME), relay::answerRemaining);
                     clock.after(maximum, () -> stopped(done));
                 });
         return done;
--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -318,6 +318,13 @@
         respond(status, cause, "in-doubt", MultiMap.caseInsensitiveMultiMap());
     }
 
+    /** Ends the request unless its answer has begun, which may still be completed. */
+    final void giveUpBeforeExit() {
+        if (!response.headWritten()) {
+            giveUp("node stops");
+        }
+    }
+
     private void respond(int status, String cause, String outcome, MultiMap headers) {
         if (!finish(outcome, status, cause)) {
             return;
--- a/src/main/java/hyssopturn/relay/Relay.java
+++ b/src/main/java/hyssopturn/relay/Relay.java
@@ -14,7 +14,10 @@
 import io.vertx.core.http.HttpServerRequest;
 
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /** Entry point of requests: reads the body, finds route and account, and starts the call. */
 public final class Relay {
@@ -38,6 +41,7 @@
     private final StallDetector stallDetector;
     private final ServiceLoad serviceLoad = new ServiceLoad();
     private Optional<Long> drainStartNanos = Optional.empty();
+    private final Set<Call> calls = new HashSet<>();
     private int running;
 
     /**
@@ -64,6 +68,11 @@
         drainStartNanos = Optional.of(context.clock().nanos());
     }
 
+    /** Answers every request in progress whose answer has not begun, before the process exits. */
+    public void answerRemaining() {
+        List.copyOf(calls).forEach(Call::giveUpBeforeExit);
+    }
+
     /**
      * Returns the number of requests in progress.
      *
@@ -203,6 +212,13 @@
                         ? new StreamCall(context, request, admitted, engine.get(), stallDetector)
                         : new PlainCall(
                                 context, request, admitted, stallDetector.checks(), serviceLoad);
+        calls.add(call);
+        request.response()
+                .endHandler(
+                        v -> {
+                            running--;
+                            calls.remove(call);
+                        });
         call.attempt();
     }
 
--- a/src/test/java/hyssopturn/platform/DrainTest.java
+++ b/src/test/java/hyssopturn/platform/DrainTest.java
@@ -19,6 +19,7 @@
     private static final int RECEIVE_MILLIS = 200;
     private static final int SLOW_MILLIS = 2_500;
     private static final int OK = 200;
+    private static final int BAD_GATEWAY = 502;
 
     private final ScriptedPlatform platform = new ScriptedPlatform(Configs.version(1), this::serve);
 
@@ -28,6 +29,9 @@
     }
 
     private void serve(HttpServerRequest request) {
+        if (request.path().endsWith("/never")) {
+            return;
+        }
         if (request.path().endsWith("/slow")) {
             platform.later(SLOW_MILLIS, () -> RelayHarness.signed(request).end("found"));
             return;
@@ -91,4 +95,15 @@
             drained.join();
         }
     }
+
+    @Test
+    void requestThatIsStillRunningAtTheEndOfTheGracePeriodIsAnswered() throws IOException {
+        try (KeptConnection caller = new KeptConnection(platform.front())) {
+            caller.awaitServed("/look/x");
+            caller.send("/book/never");
+            caller.pause(RECEIVE_MILLIS);
+            platform.drain();
+            assertThat(caller.read().status(), equalTo(BAD_GATEWAY));
+        }
+    }
 }
