The log tells suspicion from failure, and delays of the event loop

AttemptFailed has the field suspected; LoopDelayed is logged once for each run of late ticks, and both are counted in hyssopturn_events. No decision is changed.

LoopLagTest.onlyTheFirstOfSeveralDelaysIsReported is new; LoopLagTest, Event*Test and RelayPathTest pass.

--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -264,7 +264,8 @@
     }
 
     /** Decides whether the request is retried, and logs the failed attempt and the decision. */
-    final boolean acquireRetry(Endpoint endpoint, String cause, Optional<InstanceId> fault) {
+    final boolean acquireRetry(
+            Endpoint endpoint, String cause, Optional<InstanceId> fault, boolean suspected) {
         String refusalCause = retryRefusal();
         lastFailure = Optional.of(cause);
         context.trace()
@@ -276,6 +277,7 @@
                                 cause,
                                 fault.map(InstanceId::value).orElse(""),
                                 mayHaveRun,
+                                suspected,
                                 refusalCause.isEmpty() ? "retry" : refusalCause));
 
         return refusalCause.isEmpty();
--- a/src/main/java/hyssopturn/relay/LoopLag.java
+++ b/src/main/java/hyssopturn/relay/LoopLag.java
@@ -1,6 +1,7 @@
 package hyssopturn.relay;
 
 import java.time.Duration;
+import java.util.Optional;
 
 /**
  * Detects delays of the node's own event loop. Does no I/O; the caller passes in the time.
@@ -27,23 +28,35 @@
      *
      * @param nowNanos current time
      * @param interval time until the next tick is due
+     * @return how late this tick is if the loop was on time until now, otherwise empty
      */
-    void tick(long nowNanos, Duration interval) {
+    Optional<Duration> tick(long nowNanos, Duration interval) {
+        Duration lateness = lateness(nowNanos);
+        boolean firstDelay = delayed(nowNanos) && !recentlyLate(nowNanos);
         if (delayed(nowNanos)) {
             lastLateNanos = nowNanos;
         }
         expectedNanos = nowNanos + interval.toNanos();
+        return firstDelay ? Optional.of(lateness) : Optional.empty();
+    }
+
+    private Duration lateness(long nowNanos) {
+        return expectedNanos == Long.MAX_VALUE
+                ? Duration.ZERO
+                : Duration.ofNanos(Math.max(0, nowNanos - expectedNanos));
     }
 
     /** Returns whether the loop has run on time for long enough to rely on timeouts. */
     boolean onTime(long nowNanos) {
-        boolean recentlyLate =
-                lastLateNanos != Long.MIN_VALUE
-                        && nowNanos - lastLateNanos < RECOVERY_PERIOD.toNanos();
-        return !recentlyLate && !delayed(nowNanos);
+        return !recentlyLate(nowNanos) && !delayed(nowNanos);
+    }
+
+    private boolean recentlyLate(long nowNanos) {
+        return lastLateNanos != Long.MIN_VALUE
+                && nowNanos - lastLateNanos < RECOVERY_PERIOD.toNanos();
     }
 
     private boolean delayed(long nowNanos) {
-        return expectedNanos != Long.MAX_VALUE && nowNanos - expectedNanos > MAX_LATENESS.toNanos();
+        return lateness(nowNanos).compareTo(MAX_LATENESS) > 0;
     }
 }
--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -98,7 +98,9 @@
     }
 
     private void handleSlow(Endpoint endpoint) {
-        if (ended() || !current(endpoint) || !acquireRetry(endpoint, "slow", Optional.empty())) {
+        if (ended()
+                || !current(endpoint)
+                || !acquireRetry(endpoint, "slow", Optional.empty(), true)) {
             return;
         }
         excluded.add(endpoint.id());
@@ -157,7 +159,7 @@
         if (reply.failure()
                 && admitted.route().retryPolicy().allowsRetry()
                 && choose().isPresent()
-                && acquireRetry(endpoint, "endpoint failed", Optional.empty())) {
+                && acquireRetry(endpoint, "endpoint failed", Optional.empty(), false)) {
             clearUpstream();
             attempt();
             return;
@@ -177,7 +179,7 @@
         opened.reset();
         clearUpstream();
         excluded.add(endpoint.id());
-        if (acquireRetry(endpoint, cause, Optional.empty())) {
+        if (acquireRetry(endpoint, cause, Optional.empty(), false)) {
             attempt();
         } else {
             giveUp(cause);
--- a/src/main/java/hyssopturn/relay/StallDetector.java
+++ b/src/main/java/hyssopturn/relay/StallDetector.java
@@ -64,7 +64,12 @@
         Duration interval = streams.isEmpty() ? IDLE_TICK : TICK;
         context.clock().after(interval, this::tick);
         long now = context.clock().nanos();
-        context.loopLag().tick(now, interval);
+        context.loopLag()
+                .tick(now, interval)
+                .ifPresent(
+                        late ->
+                                context.trace()
+                                        .record(new TraceEvent.LoopDelayed(late.toMillis())));
         if (context.loopLag().onTime(now)) {
             checks.checkReported();
             checkStreams(now);
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -234,7 +234,7 @@
 
     private void recover(int attemptId, String cause) {
         if (!stale(attemptId)) {
-            recover(cause);
+            recover(cause, false);
         }
     }
 
@@ -247,7 +247,7 @@
         failedEngine = Optional.of(engine.id());
         Optional<EngineChain> detour = findDetour(engine);
         if (detour.isEmpty() || !mayUseDetour(detour.get())) {
-            recover("engine stalled");
+            recover("engine stalled", true);
             return;
         }
         int attemptId = currentAttemptId;
@@ -285,7 +285,7 @@
         }
         traceReroute("engine failed", done);
         if (!done) {
-            recover("not rerouted");
+            recover("not rerouted", true);
         }
     }
 
@@ -344,7 +344,7 @@
     }
 
     /** Cancels the attempt on the current chain and retries on another one, or ends the request. */
-    void recover(String cause) {
+    private void recover(String cause, boolean suspected) {
         if (ended() || chain.isEmpty()) {
             return;
         }
@@ -353,7 +353,7 @@
         failedEngine = Optional.empty();
         currentAttemptId++;
         cancelUpstream();
-        if (acquireRetry(first, cause, lastFailedEngine)) {
+        if (acquireRetry(first, cause, lastFailedEngine, suspected)) {
             attempt();
         } else if (response.headWritten()) {
             abort(cause);
@@ -386,7 +386,7 @@
         context.load().recordRefusal(first.id(), nowNanos);
         if (wait.switchDue(nowNanos) && canContinueInOneZone()) {
             avoidedFirst.add(first.id());
-            recover("first event overdue");
+            recover("first event overdue", true);
         }
     }
 
--- a/src/main/java/hyssopturn/trace/EventCounters.java
+++ b/src/main/java/hyssopturn/trace/EventCounters.java
@@ -49,6 +49,7 @@
             case TraceEvent.ConfigInForce e -> labels("", "");
             case TraceEvent.Malformed e -> labels(e.stream(), "");
             case TraceEvent.Offered e -> labels(e.reach(), e.attempt() > 1 ? "again" : "first");
+            case TraceEvent.LoopDelayed e -> labels("", "");
             case TraceEvent.Stalled e -> labels("", "");
             case TraceEvent.Dropped e -> labels("", "");
         };
--- a/src/main/java/hyssopturn/trace/TraceEvent.java
+++ b/src/main/java/hyssopturn/trace/TraceEvent.java
@@ -134,7 +134,14 @@
             implements TraceEvent {}
 
     /**
-     * An attempt failed.
+     * The event loop ran a task late, after it had been on time.
+     *
+     * @param lateMillis how late, in milliseconds
+     */
+    record LoopDelayed(long lateMillis) implements TraceEvent {}
+
+    /**
+     * An attempt failed or was given up.
      *
      * @param request id of the request
      * @param attempt number of the attempt
@@ -143,6 +150,8 @@
      * @param fault engine that failed or refused, empty if it is the first endpoint or unknown
      * @param mayHaveRun false if the endpoint's answer or the connection proves that the request
      *     did not run
+     * @param suspected true if the attempt was given up only because an endpoint was silent, false
+     *     if an answer or the connection shows that it failed
      * @param next decision that followed
      */
     record AttemptFailed(
@@ -152,6 +161,7 @@
             String cause,
             String fault,
             boolean mayHaveRun,
+            boolean suspected,
             String next)
             implements TraceEvent {}
 
--- a/src/test/java/hyssopturn/relay/LoopLagTest.java
+++ b/src/test/java/hyssopturn/relay/LoopLagTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 
 import java.time.Duration;
+import java.util.Optional;
 
 class LoopLagTest {
     private static final Duration TICK = Duration.ofMillis(10);
@@ -42,4 +43,16 @@
         lag.tick(at(700), TICK);
         assertThat(lag.onTime(at(700)), is(true));
     }
+
+    @Test
+    void onlyTheFirstOfSeveralDelaysIsReported() {
+        assertThat(lag.tick(at(0), TICK), is(Optional.empty()));
+        assertThat(lag.tick(at(300), TICK), is(Optional.of(Duration.ofMillis(290))));
+        assertThat(lag.tick(at(400), TICK), is(Optional.empty()));
+        lag.tick(at(410), TICK);
+        for (int millis = 420; millis <= 900; millis += 10) {
+            lag.tick(at(millis), TICK);
+        }
+        assertThat(lag.tick(at(1_000), TICK), is(Optional.of(Duration.ofMillis(90))));
+    }
 }
