A stream is not broken off because its engine is silent

What callers saw: streams closed midway, or answered with 502, while the engine would have gone on a second later; at scale beside changes of the configuration, when events of many streams come late at once on slow links.

Cause: suspicion was treated as a proved failure. replaceFailed, handleReroute and handleOverdueFirstEvent cancelled the running attempt first and only then asked whether a retry was allowed (route, attempts, time, retry budget) and whether another chain existed. Without either the caller's connection was closed. One silent engine does this to all its streams, and the retry budget covers few of them.

Fix: on suspicion an attempt is replaced only with the replacement in hand: detour, or retry allowed and another chain found and its links reserved. Otherwise it goes on (AttemptKept, counted by cause and obstacle) until bytes come, the connection fails or the timeout comes. It looks again after 0.2, 0.4, 0.8 s, four streams a tick. Searches count the room that the request itself would leave. A reroute that was refused or not confirmed leaves the load and the watch on the previous chain, and no retry is made if events came meanwhile. A suspected engine is no longer excluded for the rest of the call; the roster's suspicion decides. Evidence (connection closed, refusal, torn stream, missing event) retries or ends as before. This also holds for an engine that refuses connections: the first engine ends the stream itself, and its connection tells; until then closing would win the caller nothing.

The harness has one connection pool for callers and relay; its default of five a server would have let 50 calls wait for each other.

--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -43,6 +43,7 @@
     /** Maximum number of times that a request is sent, including repeats to the same endpoint. */
     private static final int MAX_ATTEMPTS = 4;
 
+    private static final String RETRY = "retry";
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -100,10 +101,15 @@
     /** Sends the request to an endpoint, or gives up if there is none. */
     abstract void startAttempt();
 
-    /** Starts the next attempt; an unexpected error ends this request alone. */
+    /** Starts the next attempt. */
     final void attempt() {
+        guarded(this::startAttempt);
+    }
+
+    /** Runs a step of the request; an unexpected error ends this request alone. */
+    final void guarded(Runnable step) {
         try {
-            startAttempt();
+            step.run();
         } catch (RuntimeException e) {
             logger.atSevere().withCause(e).log("request %s failed", admitted.id());
             respond(
@@ -263,10 +269,52 @@
                 : RetryBudget.AnswerState.NOT_STARTED;
     }
 
-    /** Decides whether the request is retried, and logs the failed attempt and the decision. */
-    final boolean acquireRetry(
-            Endpoint endpoint, String cause, Optional<InstanceId> fault, boolean suspected) {
-        String refusalCause = retryRefusal();
+    /**
+     * Decides whether the request is retried after an attempt failed, and logs the failure and the
+     * decision.
+     */
+    final boolean acquireRetry(Endpoint endpoint, String cause, Optional<InstanceId> fault) {
+        Optional<String> obstacle = retryObstacle();
+        recordFailure(endpoint, cause, fault, false, obstacle.orElse(RETRY));
+        if (obstacle.isEmpty()) {
+            countRetry();
+        }
+        return obstacle.isEmpty();
+    }
+
+    /**
+     * Counts and logs the retry by which an attempt at a suspected endpoint is replaced. The caller
+     * has checked that nothing stands in the way of a retry.
+     */
+    final void replaceAttempt(Endpoint endpoint, String cause, Optional<InstanceId> fault) {
+        recordFailure(endpoint, cause, fault, true, RETRY);
+        countRetry();
+    }
+
+    /** Logs that an attempt at a suspected endpoint goes on, since it cannot be replaced. */
+    final void keepAttempt(
+            Endpoint endpoint, String cause, Optional<InstanceId> fault, String obstacle) {
+        context.trace()
+                .record(
+                        new TraceEvent.AttemptKept(
+                                admitted.id(),
+                                attempts,
+                                endpoint.id().value(),
+                                cause,
+                                fault.map(InstanceId::value).orElse(""),
+                                obstacle));
+    }
+
+    private void countRetry() {
+        context.retryBudget().tryAcquire(admitted.service(), answerState(), now());
+    }
+
+    private void recordFailure(
+            Endpoint endpoint,
+            String cause,
+            Optional<InstanceId> fault,
+            boolean suspected,
+            String next) {
         lastFailure = Optional.of(cause);
         context.trace()
                 .record(
@@ -278,24 +326,23 @@
                                 fault.map(InstanceId::value).orElse(""),
                                 mayHaveRun,
                                 suspected,
-                                refusalCause.isEmpty() ? "retry" : refusalCause));
-
-        return refusalCause.isEmpty();
+                                next));
     }
 
-    private String retryRefusal() {
+    /** Returns what stands in the way of a retry, empty if the request may be retried now. */
+    final Optional<String> retryObstacle() {
         if (!repeatable()) {
-            return "must run at most once";
+            return Optional.of("must run at most once");
         }
         if (attempts >= MAX_ATTEMPTS) {
-            return "attempts used up";
+            return Optional.of("attempts used up");
         }
         if (remaining().toMillis() <= 0) {
-            return "no time left";
+            return Optional.of("no time left");
         }
-        return context.retryBudget().tryAcquire(admitted.service(), answerState(), now())
-                ? ""
-                : "retry budget used up";
+        return context.retryBudget().allows(admitted.service(), answerState(), now())
+                ? Optional.empty()
+                : Optional.of("retry budget used up");
     }
 
     /** Refuses a request that no endpoint may have run; the caller may retry it. */
--- a/src/main/java/hyssopturn/relay/EventWait.java
+++ b/src/main/java/hyssopturn/relay/EventWait.java
@@ -16,6 +16,13 @@
     /** Interval at which another chain is searched for while the first event is overdue. */
     private static final Duration SWITCH_INTERVAL = Duration.ofMillis(200);
 
+    /**
+     * Time until another chain is searched for again after none was found; it doubles each time.
+     */
+    private static final Duration FIRST_SEARCH_INTERVAL = Duration.ofMillis(200);
+
+    private static final Duration MAX_SEARCH_INTERVAL = Duration.ofMillis(800);
+
     /** Multiple of the average gap after which the liveness of a stream's engines is checked. */
     private static final double CHECK_GAPS = 2;
 
@@ -28,6 +35,8 @@
     private long sinceNanos;
     private long queriedNanos = Long.MIN_VALUE;
     private long nextSwitchNanos;
+    private long nextSearchNanos;
+    private Duration searchInterval = Duration.ZERO;
 
     EventWait(RelaySettings settings) {
         this.settings = settings;
@@ -37,6 +46,8 @@
     void attemptStarted(long nowNanos) {
         begun = false;
         sinceNanos = nowNanos;
+        nextSearchNanos = nowNanos;
+        searchInterval = Duration.ZERO;
     }
 
     /** Records that the chain has delivered events. */
@@ -46,6 +57,7 @@
         }
         begun = true;
         sinceNanos = nowNanos;
+        searchInterval = Duration.ZERO;
     }
 
     /** Records that the first engine was queried, or received an order that takes some time. */
@@ -53,6 +65,33 @@
         queriedNanos = nowNanos;
     }
 
+    /** Records that no replacement of a suspected engine could be found or used. */
+    void markNotReplaced(long nowNanos) {
+        Duration doubled = searchInterval.multipliedBy(2);
+        if (searchInterval.isZero()) {
+            searchInterval = FIRST_SEARCH_INTERVAL;
+        } else {
+            searchInterval =
+                    doubled.compareTo(MAX_SEARCH_INTERVAL) < 0 ? doubled : MAX_SEARCH_INTERVAL;
+        }
+        nextSearchNanos = nowNanos + searchInterval.toNanos();
+    }
+
+    /** Returns whether a replacement of a suspected engine may be searched for. */
+    boolean searchDue(long nowNanos) {
+        return nowNanos >= nextSearchNanos;
+    }
+
+    /** Returns whether the last search of this wait found no replacement. */
+    boolean searchedInVain() {
+        return !searchInterval.isZero();
+    }
+
+    /** Returns whether the chain has delivered an event after a point in time. */
+    boolean deliveredAfter(long nanos) {
+        return begun && sinceNanos > nanos;
+    }
+
     /** Returns whether the chain has delivered an event. */
     boolean begun() {
         return begun;
--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -98,11 +98,10 @@
     }
 
     private void handleSlow(Endpoint endpoint) {
-        if (ended()
-                || !current(endpoint)
-                || !acquireRetry(endpoint, "slow", Optional.empty(), true)) {
+        if (ended() || !current(endpoint) || retryObstacle().isPresent()) {
             return;
         }
+        replaceAttempt(endpoint, "slow", Optional.empty());
         excluded.add(endpoint.id());
         cancelUpstream();
         attempt();
@@ -159,7 +158,7 @@
         if (reply.failure()
                 && admitted.route().retryPolicy().allowsRetry()
                 && choose().isPresent()
-                && acquireRetry(endpoint, "endpoint failed", Optional.empty(), false)) {
+                && acquireRetry(endpoint, "endpoint failed", Optional.empty())) {
             clearUpstream();
             attempt();
             return;
@@ -179,7 +178,7 @@
         opened.reset();
         clearUpstream();
         excluded.add(endpoint.id());
-        if (acquireRetry(endpoint, cause, Optional.empty(), false)) {
+        if (acquireRetry(endpoint, cause, Optional.empty())) {
             attempt();
         } else {
             giveUp(cause);
--- a/src/main/java/hyssopturn/relay/StallDetector.java
+++ b/src/main/java/hyssopturn/relay/StallDetector.java
@@ -32,11 +32,15 @@
     /** Interval of searches for engines that are about to shut down, after none was found. */
     private static final Duration DEPARTING_CHECK_INTERVAL = Duration.ofMillis(100);
 
+    /** Number of streams for which a replacement is searched for again in one tick. */
+    private static final int MAX_REPEATED_SEARCHES = 4;
+
     private final RelayContext context;
     private final EngineControl engines;
     private final Set<StreamCall> streams = new LinkedHashSet<>();
     private final EndpointChecks checks;
     private long nextDepartingCheckNanos;
+    private int repeatedSearches;
 
     StallDetector(RelayContext context, EngineControl engines) {
         this.context = context;
@@ -77,6 +81,7 @@
     }
 
     private void checkStreams(long now) {
+        repeatedSearches = 0;
         List.copyOf(streams).forEach(stream -> checkEngines(stream, now));
         List.copyOf(streams).forEach(stream -> stream.handleOverdueFirstEvent(now));
         Map<Endpoint, List<StreamCall>> waiting = new HashMap<>();
@@ -111,20 +116,29 @@
 
     /**
      * Handles a stream whose next event is late: replaces an engine that is already suspected to
-     * have failed, otherwise checks the liveness of all its engines.
+     * have failed if possible, otherwise checks the liveness of its other engines.
      */
     private void checkEngines(StreamCall stream, long now) {
         if (!stream.checkDue(now)) {
             return;
         }
         Optional<Endpoint> suspect = stream.findSuspect();
-        if (suspect.isPresent()) {
-            stream.replaceFailed(suspect.get(), engines);
+        if (suspect.isPresent() && maySearch(stream, now)) {
+            stream.replaceSuspected(suspect.get(), engines);
             return;
         }
-        for (Hop hop : stream.chain().orElseThrow().hops()) {
-            checks.checkPaced(hop.engine());
+        stream.chain().orElseThrow().hops().stream()
+                .map(Hop::engine)
+                .filter(e -> !context.routingState().roster().suspected(e, now))
+                .forEach(checks::checkPaced);
+    }
+
+    /** Returns whether to search for a replacement now; repeated searches are few in each tick. */
+    private boolean maySearch(StreamCall stream, long now) {
+        if (!stream.searchDue(now)) {
+            return false;
         }
+        return !stream.searchedInVain() || repeatedSearches++ < MAX_REPEATED_SEARCHES;
     }
 
     private void handleUnreachable(Endpoint endpoint) {
@@ -171,8 +185,8 @@
     }
 
     /**
-     * Marks an engine as suspected and replaces it in all streams; returns true if it was not
-     * suspected before.
+     * Marks an engine as suspected and replaces it in all streams that can leave it; returns true
+     * if it was not suspected before.
      */
     private boolean markSuspected(
             Endpoint engine, Evidence evidence, List<StreamCall> waiting, String cause) {
@@ -190,8 +204,8 @@
                                     engine.id().value(), engine.service(), "suspect", "", cause));
         }
         for (StreamCall stream : List.copyOf(streams)) {
-            if (stream.uses(engine.id())) {
-                stream.replaceFailed(engine, engines);
+            if (stream.uses(engine.id()) && stream.searchDue(now)) {
+                stream.replaceSuspected(engine, engines);
             }
         }
         return newlySuspected;
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -19,6 +19,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 
 /**
  * A request whose answer is a stream of events from a chain of engines.
@@ -33,7 +34,7 @@
     private final EventWait wait;
     private final Set<InstanceId> avoidedFirst = new HashSet<>();
     private Optional<EngineChain> chain = Optional.empty();
-    private Optional<InstanceId> failedEngine = Optional.empty();
+    private Optional<InstanceId> refusingEngine = Optional.empty();
     private EventFramer framer = new EventFramer();
     private int currentAttemptId;
 
@@ -52,24 +53,30 @@
 
     @Override
     void startAttempt() {
-        Optional<EngineChain> found =
-                chainFinder
-                        .findWithCapacity(
-                                e -> mayAttempt(e) && !avoidedFirst.contains(e.id()), excluded)
-                        .or(() -> chainFinder.findAny(this::mayAttempt, excluded));
+        Optional<EngineChain> found = findChain(excluded);
         if (found.isEmpty() || !chainFinder.reserveZoneLinks(found.get().links())) {
             giveUp(lastFailureOr(found.isEmpty() ? "no chain" : "no chain within a zone"));
             return;
         }
-        chain = found;
-        context.load().add(found.get(), chainFinder.tokens());
+        startOn(found.get());
+    }
+
+    private Optional<EngineChain> findChain(Set<InstanceId> unusable) {
+        return chainFinder
+                .findWithCapacity(e -> mayAttempt(e) && !avoidedFirst.contains(e.id()), unusable)
+                .or(() -> chainFinder.findAny(this::mayAttempt, unusable));
+    }
+
+    private void startOn(EngineChain found) {
+        chain = Optional.of(found);
+        context.load().add(found, chainFinder.tokens());
         framer = new EventFramer();
         wait.attemptStarted(now());
         int attemptId = ++currentAttemptId;
-        Endpoint first = found.get().first().engine();
+        Endpoint first = found.first().engine();
         boolean earlierMayHaveRun = mayHaveRun();
         Attempt attempt =
-                new Attempt(first, found, admitted.account(), remaining(), progress.last());
+                new Attempt(first, chain, admitted.account(), remaining(), progress.last());
         openRequest(attempt)
                 .onComplete(
                         r -> send(attemptId, earlierMayHaveRun, first, r),
@@ -124,7 +131,7 @@
                             .flatMap(context.routingState().roster()::findByAddress)
                             .orElse(chain.orElseThrow().first().engine())
                             .id();
-            failedEngine = Optional.of(refusing);
+            refusingEngine = Optional.of(refusing);
             excluded.add(refusing);
             context.load().recordRefusal(refusing, now());
             recover(attemptId, "engine refused");
@@ -232,27 +239,86 @@
         response.end();
     }
 
+    /** Cancels a failed attempt and retries on another chain, or ends the request. */
     private void recover(int attemptId, String cause) {
-        if (!stale(attemptId)) {
-            recover(cause, false);
+        if (stale(attemptId)) {
+            return;
+        }
+        Endpoint first = chain.orElseThrow().first().engine();
+        Optional<InstanceId> fault = refusingEngine;
+        refusingEngine = Optional.empty();
+        currentAttemptId++;
+        cancelUpstream();
+        if (acquireRetry(first, cause, fault)) {
+            attempt();
+        } else if (response.headWritten()) {
+            abort(cause);
+        } else {
+            giveUp(cause);
         }
     }
 
     /**
-     * Replaces a failed engine, by rerouting the running request if the other engines can continue
-     * it, otherwise by a retry on another chain.
+     * Replaces an engine that is suspected to have failed, by rerouting the running request if the
+     * other engines can continue it, otherwise by a retry on another chain. If neither is possible,
+     * the request goes on waiting: an engine that is only silent may continue.
      */
-    void replaceFailed(Endpoint engine, EngineControl engines) {
-        excluded.add(engine.id());
-        failedEngine = Optional.of(engine.id());
-        Optional<EngineChain> detour = findDetour(engine);
-        if (detour.isEmpty() || !mayUseDetour(detour.get())) {
-            recover("engine stalled", true);
+    void replaceSuspected(Endpoint engine, EngineControl engines) {
+        guarded(
+                () -> {
+                    Optional<EngineChain> detour = findDetour(engine).filter(this::mayUseDetour);
+                    if (detour.isPresent()) {
+                        rerouteAround(engine, detour.get(), engines);
+                    } else {
+                        retryElsewhere("engine stalled", engine);
+                    }
+                });
+    }
+
+    /** Retries on another chain if one can be used, otherwise keeps the attempt in progress. */
+    private void retryElsewhere(String cause, Endpoint suspect) {
+        Optional<String> obstacle = retryObstacle();
+        if (obstacle.isPresent()) {
+            keepWaiting(cause, suspect, obstacle.get());
             return;
         }
-        int attemptId = currentAttemptId;
-        reroute(detour.get(), engines)
-                .whenComplete((done, error) -> handleReroute(attemptId, error == null && done));
+        Optional<EngineChain> other = findReplacement(suspect);
+        if (other.isEmpty()) {
+            keepWaiting(cause, suspect, "no other chain");
+            return;
+        }
+        if (!chainFinder.reserveZoneLinks(other.get().links())) {
+            keepWaiting(cause, suspect, "no other chain within a zone");
+            return;
+        }
+        moveTo(other.get(), cause, suspect);
+    }
+
+    private void keepWaiting(String cause, Endpoint suspect, String obstacle) {
+        Endpoint first = chain.orElseThrow().first().engine();
+        keepAttempt(first, cause, Optional.of(suspect.id()), obstacle);
+        wait.markNotReplaced(now());
+    }
+
+    /** Finds another chain, with the room that this request would leave on the present one. */
+    private Optional<EngineChain> findReplacement(Endpoint suspect) {
+        EngineChain current = chain.orElseThrow();
+        Set<InstanceId> unusable = new HashSet<>(excluded);
+        unusable.add(suspect.id());
+        context.load().remove(current, chainFinder.tokens());
+        try {
+            return findChain(unusable);
+        } finally {
+            context.load().add(current, chainFinder.tokens());
+        }
+    }
+
+    private void moveTo(EngineChain other, String cause, Endpoint suspect) {
+        Endpoint first = chain.orElseThrow().first().engine();
+        currentAttemptId++;
+        replaceAttempt(first, cause, Optional.of(suspect.id()));
+        cancelUpstream();
+        startOn(other);
     }
 
     /**
@@ -272,20 +338,38 @@
     }
 
     private boolean canContinueInOneZone() {
-        return mayRetryElsewhere()
-                && chainFinder
-                        .findWithCapacity(this::mayAttempt, excluded)
-                        .filter(c -> c.crossings() == 0)
-                        .isPresent();
+        return mayRetryElsewhere() && findInOneZone(this::mayAttempt).isPresent();
     }
 
-    private void handleReroute(int attemptId, boolean done) {
-        if (stale(attemptId)) {
-            return;
-        }
-        traceReroute("engine failed", done);
-        if (!done) {
-            recover("not rerouted", true);
+    private Optional<EngineChain> findInOneZone(Predicate<Endpoint> first) {
+        return chainFinder.findWithCapacity(first, excluded).filter(c -> c.crossings() == 0);
+    }
+
+    private void rerouteAround(Endpoint engine, EngineChain detour, EngineControl engines) {
+        int attemptId = currentAttemptId;
+        long orderedNanos = now();
+        EngineChain previous = chain.orElseThrow();
+        reroute(detour, engines)
+                .whenComplete(
+                        (done, error) -> {
+                            if (stale(attemptId)) {
+                                return;
+                            }
+                            traceReroute("engine failed", error == null && done);
+                            if ((error != null || !done) && chain.equals(Optional.of(detour))) {
+                                handleNotRerouted(previous, engine, orderedNanos);
+                            }
+                        });
+    }
+
+    /**
+     * Handles a reroute that was refused or not confirmed. The engine may still carry it out; until
+     * then the previous chain is the one to watch, since the suspected engine is part of it.
+     */
+    private void handleNotRerouted(EngineChain previous, Endpoint engine, long orderedNanos) {
+        switchTo(previous);
+        if (!wait.deliveredAfter(orderedNanos)) {
+            guarded(() -> retryElsewhere("not rerouted", engine));
         }
     }
 
@@ -343,25 +427,6 @@
         return engines.reroute(first.address(), first.id(), id(), ChainFinder.path(other));
     }
 
-    /** Cancels the attempt on the current chain and retries on another one, or ends the request. */
-    private void recover(String cause, boolean suspected) {
-        if (ended() || chain.isEmpty()) {
-            return;
-        }
-        Endpoint first = chain.get().first().engine();
-        Optional<InstanceId> lastFailedEngine = failedEngine;
-        failedEngine = Optional.empty();
-        currentAttemptId++;
-        cancelUpstream();
-        if (acquireRetry(first, cause, lastFailedEngine, suspected)) {
-            attempt();
-        } else if (response.headWritten()) {
-            abort(cause);
-        } else {
-            giveUp(cause);
-        }
-    }
-
     /** Returns whether the first engine should be queried about the stall. */
     boolean queryDue(long nowNanos) {
         return chain.isPresent() && wait.queryDue(nowNanos);
@@ -384,12 +449,30 @@
         }
         Endpoint first = chain.get().first().engine();
         context.load().recordRefusal(first.id(), nowNanos);
-        if (wait.switchDue(nowNanos) && canContinueInOneZone()) {
-            avoidedFirst.add(first.id());
-            recover("first event overdue", true);
+        if (wait.switchDue(nowNanos) && mayRetryElsewhere() && retryObstacle().isEmpty()) {
+            guarded(() -> leaveQueue(first));
         }
     }
 
+    private void leaveQueue(Endpoint first) {
+        findInOneZone(e -> mayAttempt(e) && !e.id().equals(first.id()))
+                .ifPresent(
+                        other -> {
+                            avoidedFirst.add(first.id());
+                            moveTo(other, "first event overdue", first);
+                        });
+    }
+
+    /** Returns whether a replacement of a suspected engine may be searched for now. */
+    boolean searchDue(long nowNanos) {
+        return chain.isPresent() && wait.searchDue(nowNanos);
+    }
+
+    /** Returns whether the last search of this wait found no replacement. */
+    boolean searchedInVain() {
+        return wait.searchedInVain();
+    }
+
     /** Finds an engine of the chain that is suspected to have failed. */
     Optional<Endpoint> findSuspect() {
         return chainFinder.findSuspect(chain.orElseThrow());
--- a/src/main/java/hyssopturn/trace/EventCounters.java
+++ b/src/main/java/hyssopturn/trace/EventCounters.java
@@ -34,6 +34,7 @@
         return switch (event) {
             case TraceEvent.Ended e -> labels(e.cause(), e.outcome());
             case TraceEvent.AttemptFailed e -> labels(e.cause(), e.next());
+            case TraceEvent.AttemptKept e -> labels(e.cause(), e.obstacle());
             case TraceEvent.Rerouted e -> labels(e.cause(), e.done() ? "done" : "refused");
             case TraceEvent.EndpointChanged e -> labels("", e.state());
             case TraceEvent.EndpointsListed e -> labels("", "");
--- a/src/main/java/hyssopturn/trace/TraceEvent.java
+++ b/src/main/java/hyssopturn/trace/TraceEvent.java
@@ -165,6 +165,25 @@
             String next)
             implements TraceEvent {}
 
+    /**
+     * An attempt goes on although an endpoint is suspected, since it could not be replaced.
+     *
+     * @param request id of the request
+     * @param attempt number of the attempt
+     * @param endpoint first endpoint
+     * @param cause kind of the suspicion
+     * @param fault engine that is suspected, empty if it is the first endpoint
+     * @param obstacle why the endpoint could not be replaced
+     */
+    record AttemptKept(
+            String request,
+            int attempt,
+            String endpoint,
+            String cause,
+            String fault,
+            String obstacle)
+            implements TraceEvent {}
+
     /**
      * A request ended.
      *
--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -38,6 +38,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.PoolOptions;
 
 import java.io.OutputStream;
 import java.time.Duration;
@@ -52,6 +53,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
 
 /** Test harness: a relay on loopback between one caller and workers that are simulated by tests. */
 final class RelayHarness implements AutoCloseable {
@@ -60,6 +62,9 @@
     /** Stall timeout, long enough that only engines that have stalled for good are queried. */
     private static final Duration STALL_TIMEOUT = Duration.ofMillis(400);
 
+    /** Connections to each server, of callers and of the relay. */
+    private static final int MAX_CONNECTIONS = 200;
+
     private static final String HOST = "127.0.0.1";
     private static final String CONFIG =
             """
@@ -67,6 +72,11 @@
              {"Name":"w","Host":"town.example","PathPrefix":"/write/","Type":"streaming",
               "TimeoutMs":20000,"TargetLatencyMs":500,"Service":"writers","MaxAttempts":2,
               "StreamResume":true,"GapAimMs":200},
+             {"Name":"o","Host":"town.example","PathPrefix":"/once/","Type":"streaming",
+              "TimeoutMs":20000,"TargetLatencyMs":500,"Service":"writers","MaxAttempts":2,
+              "GapAimMs":200},
+             {"Name":"f","Host":"town.example","PathPrefix":"/find/","Type":"idempotent",
+              "TimeoutMs":20000,"TargetLatencyMs":100,"Service":"records","MaxAttempts":2},
              {"Name":"b","Host":"town.example","PathPrefix":"/book/","Type":"unsafe",
               "TimeoutMs":20000,"TargetLatencyMs":300,"Service":"records","MaxAttempts":2},
              {"Name":"l","Host":"town.example","PathPrefix":"/look/","Type":"idempotent",
@@ -84,8 +94,12 @@
 
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final HttpClient client =
-            vertx.createHttpClient(new HttpClientOptions().setKeepAlive(false));
+            vertx.createHttpClient(
+                    new HttpClientOptions().setKeepAlive(false),
+                    new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
     private final RoutingState knowledge = new RoutingState();
+    private final RetryBudget retryBudget =
+            new RetryBudget(0.2, Duration.ofSeconds(10).toNanos(), 100, 1);
     private final List<String> requestIds = Collections.synchronizedList(new ArrayList<>());
     private final AtomicInteger requestCount = new AtomicInteger();
     private final TraceLog trace;
@@ -121,7 +135,7 @@
                         client,
                         clock,
                         new SplittableRandom(1),
-                        new RetryBudget(0.2, Duration.ofSeconds(10).toNanos(), 100, 1),
+                        retryBudget,
                         new EngineLoad(loadNoise(), 10),
                         new InterZoneBudget(1),
                         (address, reference) ->
@@ -293,6 +307,18 @@
         done.join();
     }
 
+    /** Uses up the retry budgets of both services. */
+    void exhaustRetries() {
+        onLoop(() -> List.of("writers", "records").forEach(this::exhaustRetries));
+    }
+
+    private void exhaustRetries(String service) {
+        long now = System.nanoTime() - startNanos;
+        while (retryBudget.tryAcquire(service, RetryBudget.AnswerState.STARTED, now)) {
+            // each call uses the budget for one retry
+        }
+    }
+
     /** Lets another node report a worker as failed. */
     void report(String id) {
         Endpoint endpoint = announced.get(id);
@@ -319,7 +345,12 @@
 
     /** Runs a task after 100 ms. */
     void runLater(Runnable task) {
-        vertx.setTimer(100, timer -> task.run());
+        runAfter(Duration.ofMillis(100), task);
+    }
+
+    /** Runs a task on the event loop after a delay. */
+    void runAfter(Duration delay, Runnable task) {
+        vertx.setTimer(delay.toMillis(), timer -> task.run());
     }
 
     /** Announces that a worker is leaving; must run on the event loop. */
@@ -356,6 +387,13 @@
         return send(path, headers).await();
     }
 
+    /** Sends requests at the same time and returns their answers. */
+    List<Answer> callTogether(String path, int count) {
+        List<Future<Answer>> answers =
+                IntStream.range(0, count).mapToObj(i -> send(path, Map.of())).toList();
+        return answers.stream().map(answer -> answer.await()).toList();
+    }
+
     /** Sends a request and reads the answer on the event loop, which discards unread bytes. */
     private Future<Answer> send(String path, Map<String, String> headers) {
         return client.request(HttpMethod.POST, port, HOST, path)
--- /dev/null
+++ b/src/test/java/hyssopturn/platform/SilentEnginesTest.java
@@ -0,0 +1,214 @@
+package hyssopturn.platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.is;
+
+import hyssopturn.model.Address;
+
+import io.vertx.core.http.HttpServerRequest;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Answers of sound endpoints that say nothing for a while, longer than the stall timeouts. */
+class SilentEnginesTest {
+    private static final String EVENTS = "id: %d\ndata: t%d\n\n";
+    private static final Duration SILENCE = Duration.ofMillis(1_500);
+
+    private final RelayHarness harness = new RelayHarness();
+    private final AtomicInteger runs = new AtomicInteger();
+
+    @AfterEach
+    void close() {
+        harness.close();
+    }
+
+    private static String events(int from, int to) {
+        StringBuilder text = new StringBuilder();
+        for (int id = from; id < to; id++) {
+            text.append(EVENTS.formatted(id, id));
+        }
+        return text.toString();
+    }
+
+    /** Writes some events, is silent, and then writes the others; answers no query meanwhile. */
+    private void pause(HttpServerRequest request, int eventsBefore) {
+        if (control(request)) {
+            return;
+        }
+        runs.incrementAndGet();
+        var response = RelayHarness.signed(request).setChunked(true);
+        if (eventsBefore > 0) {
+            response.write(events(0, eventsBefore));
+        }
+        harness.runAfter(SILENCE, () -> response.end(events(eventsBefore, 4)));
+    }
+
+    private void awaitSilence() {
+        CompletableFuture<Void> over = new CompletableFuture<>();
+        harness.runAfter(SILENCE, () -> over.complete(null));
+        over.join();
+    }
+
+    private static boolean control(HttpServerRequest request) {
+        return request.path().startsWith("/v1/");
+    }
+
+    private static void assertWhole(RelayHarness.Answer answer) {
+        assertThat(answer.status(), equalTo(200));
+        assertThat(answer.body(), equalTo(events(0, 4)));
+        assertThat(answer.complete(), is(true));
+    }
+
+    @Nested
+    class InTheMiddleOfAnAnswer {
+        @Test
+        void doNotBreakItOffWhenTheRetryBudgetIsUsedUp() {
+            harness.engine("e1", r -> pause(r, 1));
+            harness.engine("e2", r -> pause(r, 1));
+            harness.exhaustRetries();
+            assertWhole(harness.call("/write/x", Map.of()));
+        }
+
+        @Test
+        void doNotBreakItOffWhenThereIsNoOtherChain() {
+            harness.engine("e1", r -> pause(r, 1));
+            assertWhole(harness.call("/write/x", Map.of()));
+        }
+
+        @Test
+        void doNotBreakItOffOnARouteThatMustRunAtMostOnce() {
+            harness.engine("e1", r -> pause(r, 1));
+            harness.engine("e2", r -> pause(r, 1));
+            assertWhole(harness.call("/once/x", Map.of()));
+            assertThat(runs.get(), equalTo(1));
+        }
+
+        @Test
+        void doNotBreakItOffWhenTheyAcceptNoConnectionsMeanwhile() {
+            Address only = harness.engine("e1", 0, 80, r -> pause(r, 1));
+            harness.failProbes(only);
+            assertWhole(harness.call("/write/x", Map.of()));
+        }
+
+        @Test
+        void areLeftOnceAnotherChainAppears() {
+            harness.engine("e1", SilentEnginesTest::beginOnly);
+            var answer = CompletableFuture.supplyAsync(() -> harness.call("/write/x", Map.of()));
+            awaitSilence();
+            harness.engine("e2", SilentEnginesTest::finish);
+            assertWhole(answer.join());
+        }
+
+        @Test
+        void doNotBreakOffFiftyAnswersThatTheRetryBudgetCannotCover() {
+            harness.engine("e1", r -> pause(r, 1));
+            harness.engine("e2", r -> pause(r, 1));
+            harness.engine("e3", r -> pause(r, 1));
+            harness.exhaustRetries();
+            List<RelayHarness.Answer> answers = harness.callTogether("/write/x", 50);
+            assertThat(
+                    answers.stream().map(RelayHarness.Answer::complete).toList(),
+                    everyItem(is(true)));
+            assertThat(
+                    answers.stream().map(RelayHarness.Answer::body).toList(),
+                    everyItem(equalTo(events(0, 4))));
+        }
+    }
+
+    private static void beginOnly(HttpServerRequest request) {
+        if (!control(request)) {
+            RelayHarness.signed(request).setChunked(true).write(events(0, 1));
+        }
+    }
+
+    private static void finish(HttpServerRequest request) {
+        if (!control(request)) {
+            int next = Integer.parseInt(request.getHeader("Last-Event-Id")) + 1;
+            RelayHarness.signed(request).setChunked(true).end(events(next, 4));
+        }
+    }
+
+    @Nested
+    class BehindTheFirstEngine {
+        private Optional<HttpServerRequest> running = Optional.empty();
+
+        /** Names the second engine as the one that it waits for, and handles orders as given. */
+        private void waitForSecond(HttpServerRequest request, Optional<Integer> orderStatus) {
+            switch (request.path()) {
+                case "/v1/report" -> report(request);
+                case "/v1/order" ->
+                        orderStatus.ifPresent(s -> request.response().setStatusCode(s).end());
+                default -> {
+                    running = Optional.of(request);
+                    pause(request, 1);
+                }
+            }
+        }
+
+        private void report(HttpServerRequest request) {
+            HttpServerRequest stalled = running.orElseThrow();
+            String second = stalled.getHeader("Hyssopturn-Hop-Count").split(",", -1)[1];
+            request.response()
+                    .end(
+                            """
+                            {"Stalled":[{"Id":"%s","Address":"%s"}]}
+                            """
+                                    .formatted(
+                                            stalled.getHeader("Hyssopturn-Attempt-Id"),
+                                            second.replaceAll("=.*", "")));
+        }
+
+        @Test
+        void doNotBreakOffTheAnswerWhenNoOtherHoldsTheirLayers() {
+            harness.engine("e1", 0, 40, r -> waitForSecond(r, Optional.empty()));
+            harness.engine("e2", 40, 80, r -> {});
+            assertWhole(harness.call("/write/x", Map.of()));
+        }
+
+        @Test
+        void doNotBreakOffTheAnswerWhenARerouteOrderIsNotAnswered() {
+            harness.engine("e1", 0, 40, r -> waitForSecond(r, Optional.empty()));
+            harness.engine("e2", 40, 80, r -> {});
+            harness.engine("e3", 40, 80, r -> {});
+            harness.exhaustRetries();
+            assertWhole(harness.call("/write/x", Map.of()));
+        }
+
+        @Test
+        void doNotBreakOffTheAnswerWhenARerouteOrderIsRefused() {
+            harness.engine("e1", 0, 40, r -> waitForSecond(r, Optional.of(409)));
+            harness.engine("e2", 40, 80, r -> {});
+            harness.engine("e3", 40, 80, r -> {});
+            harness.exhaustRetries();
+            assertWhole(harness.call("/write/x", Map.of()));
+        }
+    }
+
+    @Nested
+    class BeforeTheFirstEvent {
+        @Test
+        void areWaitedForWhenThereIsNoOtherChain() {
+            harness.engine("e1", r -> pause(r, 0));
+            assertWhole(harness.call("/write/x", Map.of()));
+        }
+
+        @Test
+        void areWaitedForWhenTheRetryBudgetIsUsedUp() {
+            harness.engine("e1", r -> pause(r, 0));
+            harness.engine("e2", r -> pause(r, 0));
+            harness.exhaustRetries();
+            assertWhole(harness.call("/write/x", Map.of()));
+        }
+    }
+}
--- a/src/test/java/hyssopturn/relay/EventWaitTest.java
+++ b/src/test/java/hyssopturn/relay/EventWaitTest.java
@@ -75,4 +75,42 @@
             assertThat(wait.queryDue(at(50 + 200)), is(false));
         }
     }
+
+    @Nested
+    class SearchForAReplacement {
+        @Test
+        void isDueAtOnceAndThenLessAndLessOften() {
+            wait.attemptStarted(0);
+            assertThat(wait.searchDue(0), is(true));
+            assertThat(wait.searchedInVain(), is(false));
+            long searched = 0;
+            for (long millis : new long[] {200, 400, 800, 800}) {
+                wait.markNotReplaced(at(searched));
+                searched += millis;
+                assertThat(wait.searchDue(at(searched - 1)), is(false));
+                assertThat(wait.searchDue(at(searched)), is(true));
+                assertThat(wait.searchedInVain(), is(true));
+            }
+        }
+
+        @Test
+        void isDueAtOnceForTheNextChain() {
+            wait.attemptStarted(0);
+            wait.markNotReplaced(at(100));
+            wait.attemptStarted(at(150));
+            assertThat(wait.searchDue(at(150)), is(true));
+        }
+
+        @Test
+        void startsOverInTheNextWaitButNotSooner() {
+            wait.attemptStarted(0);
+            wait.markNotReplaced(at(100));
+            wait.markNotReplaced(at(300));
+            wait.delivered(at(310));
+            assertThat(wait.searchedInVain(), is(false));
+            assertThat(wait.searchDue(at(699)), is(false));
+            wait.markNotReplaced(at(700));
+            assertThat(wait.searchDue(at(900)), is(true));
+        }
+    }
 }
