--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -98,9 +98,10 @@
     }
 
     private void handleSlow(Endpoint endpoint) {
-        if (ended() || !current(endpoint) || !acquireRetry(endpoint, "slow", Optional.empty())) {
+        if (ended() || !current(endpoint) || retryObstacle().isPresent()) {
             return;
         }
+        replaceAttempt(endpoint, "slow", Optional.empty());
         excluded.add(endpoint.id());
         cancelUpstream();
         attempt();
--- a/src/main/java/hyssopturn/trace/EventCounters.java
+++ b/src/main/java/hyssopturn/trace/EventCounters.java
@@ -34,6 +34,7 @@
         return switch (event) {
             case TraceEvent.Ended e -> labels(e.cause(), e.outcome());
             case TraceEvent.AttemptFailed e -> labels(e.cause(), e.next());
+            case TraceEvent.AttemptKept e -> labels(e.cause(), e.obstacle());
             case TraceEvent.Rerouted e -> labels(e.cause(), e.done() ? "done" : "refused");
             case TraceEvent.EndpointChanged e -> labels("", e.state());
             case TraceEvent.EndpointsListed e -> labels("", "");
@@ -49,6 +50,7 @@
             case TraceEvent.ConfigInForce e -> labels("", "");
             case TraceEvent.Malformed e -> labels(e.stream(), "");
             case TraceEvent.Offered e -> labels(e.reach(), e.attempt() > 1 ? "again" : "first");
+            case TraceEvent.LoopDelayed e -> labels("", "");
             case TraceEvent.Stalled e -> labels("", "");
             case TraceEvent.Dropped e -> labels("", "");
         };
