A record that its listener cannot handle no longer ends the reading of a stream

A node that met one odd record would have stopped to follow the list of endpoints (or the configuration) for good, and gone on with what it knew: requests to endpoints that are gone, none to new ones, until its restart. Cause: KeyedFollower called its listener inside CompletableFuture.whenComplete and scheduled the next read after it; an exception or a StackOverflowError from the listener was swallowed by the future, without a log line, and no read followed. The same held for a call to the log that failed at once.

The next read is now scheduled whatever the listener does, and the failure is logged.

Evidence on the old code (KeyedFollowerTest): after a RuntimeException or a StackOverflowError at the first or a later record nothing further was received, and readsContinueAfterACallThatFailsAtOnce failed.

--- a/src/main/java/hyssopturn/log/KeyedFollower.java
+++ b/src/main/java/hyssopturn/log/KeyedFollower.java
@@ -9,6 +9,7 @@
 import hyssopturn.port.TrimmedException;
 
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 
@@ -106,8 +107,15 @@
         boolean snapshot = next < 0;
         // after a failure, a long poll would delay the detection that the log is available again
         Duration readWait = failing ? Duration.ZERO : pacing.readWait();
-        var page = snapshot ? log.newest(stream) : log.read(stream, next, readWait);
-        page.whenComplete((p, error) -> handleAnswer(snapshot, p, error));
+        request(snapshot, readWait).whenComplete((p, error) -> handleAnswer(snapshot, p, error));
+    }
+
+    private CompletableFuture<KeyedLog.Page> request(boolean snapshot, Duration readWait) {
+        try {
+            return snapshot ? log.newest(stream) : log.read(stream, next, readWait);
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
     }
 
     private void handleAnswer(boolean snapshot, KeyedLog.Page page, Throwable error) {
@@ -119,9 +127,9 @@
         failing = false;
         next = page.next();
         if (snapshot) {
-            listener.snapshot(page);
+            tell(() -> listener.snapshot(page));
         } else {
-            listener.records(page);
+            tell(() -> listener.records(page));
         }
         clock.after(snapshot ? Duration.ZERO : pacing.pause(), this::read);
     }
@@ -139,10 +147,20 @@
         failing = true;
         logger.atWarning().atMostEvery(WARN_SECONDS, TimeUnit.SECONDS).log(
                 "stream=%s unreadable: %s", stream, cause);
-        listener.readFailed(
+        PortException failure =
                 cause instanceof PortException known
                         ? known
-                        : new FailedException("answer cannot be read: " + cause));
+                        : new FailedException("answer cannot be read: " + cause);
+        tell(() -> listener.readFailed(failure));
         clock.after(backoff.next(), this::read);
     }
+
+    /** Calls the listener; an unexpected error must not end the reads. */
+    private void tell(Runnable call) {
+        try {
+            call.run();
+        } catch (RuntimeException | StackOverflowError e) {
+            logger.atSevere().withCause(e).log("stream=%s: listener failed", stream);
+        }
+    }
 }
--- a/src/test/java/hyssopturn/log/KeyedFollowerTest.java
+++ b/src/test/java/hyssopturn/log/KeyedFollowerTest.java
@@ -13,6 +13,8 @@
 import hyssopturn.standin.VirtualClock;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -62,6 +64,7 @@
         private Optional<PortException> error = Optional.empty();
         private int reads;
         private boolean silent;
+        private boolean fault;
 
         void append(String key) {
             entries.add(new Entry(key, Optional.empty(), entries.size()));
@@ -85,6 +88,9 @@
 
         private CompletableFuture<Page> page(int from, Duration wait) {
             reads++;
+            if (fault) {
+                throw new IllegalStateException("call failed at once");
+            }
             if (silent) {
                 CompletableFuture<Page> late = new CompletableFuture<>();
                 clock.after(
@@ -154,6 +160,74 @@
         }
     }
 
+    /** The reads ended for good when one record made the listener fail. */
+    @ParameterizedTest
+    @ValueSource(classes = {IllegalStateException.class, StackOverflowError.class})
+    void recordsAfterOneThatTheListenerCannotHandleAreRead(Class<? extends Throwable> kind) {
+        for (String odd : new String[] {"first", "later"}) {
+            List<String> applied = new ArrayList<>();
+            failing(kind, odd, applied).start();
+            log.append("first");
+            clock.advance(Duration.ofSeconds(2));
+            log.append("later");
+            clock.advance(Duration.ofSeconds(2));
+            log.append("last");
+            clock.advance(Duration.ofSeconds(2));
+            assertThat(applied.getLast(), equalTo("last"));
+        }
+    }
+
+    private KeyedFollower failing(
+            Class<? extends Throwable> kind, String odd, List<String> applied) {
+        KeyedFollower.Listener listener =
+                new KeyedFollower.Listener() {
+                    @Override
+                    public void snapshot(KeyedLog.Page page) {
+                        records(page);
+                    }
+
+                    @Override
+                    public void records(KeyedLog.Page page) {
+                        for (KeyedLog.Entry entry : page.entries()) {
+                            failAt(entry.key());
+                            applied.add(entry.key());
+                        }
+                    }
+
+                    private void failAt(String key) {
+                        if (key.equals(odd) && kind == StackOverflowError.class) {
+                            throw new StackOverflowError();
+                        }
+                        if (key.equals(odd)) {
+                            throw new IllegalStateException(odd);
+                        }
+                    }
+
+                    @Override
+                    public void readFailed(PortException error) {
+                        throw new IllegalStateException(error);
+                    }
+                };
+        return new KeyedFollower(
+                log,
+                "s",
+                new KeyedFollower.Pacing(Duration.ZERO, Duration.ofSeconds(1)),
+                clock,
+                new Backoff(new SplittableRandom(1), Duration.ofMillis(300)),
+                listener);
+    }
+
+    @Test
+    void readsContinueAfterACallThatFailsAtOnce() {
+        follower.start();
+        log.fault = true;
+        clock.advance(Duration.ofSeconds(3));
+        log.fault = false;
+        log.append("a");
+        clock.advance(Duration.ofSeconds(3));
+        assertThat(received.getLast(), equalTo("a"));
+    }
+
     @Test
     void readsArePaced() {
         follower.start();
