Announced layers that the model does not have no longer end the placement of layers

One announcement with layers above the model's last one would have ended the placement at the node that has the duty, for good: LayerPlanner indexed its copies by the announced range (ArrayIndexOutOfBoundsException, index 80 of 80) while a layer was uncovered, and LayerController scheduled its next tick after the plan. That node then neither placed layers nor renewed the duty; its successor met the same entry.

Engines that announce layers above the model's are left out of plans and chains (such an entry names no engine to use). The controller schedules its next tick first, and an unexpected error for one service is logged and stops neither the others nor the ticks.

Evidence on the old code (LayerControllerTest): both new tests ended with the exception out of the tick.

--- a/src/main/java/hyssopturn/catalog/EngineSpec.java
+++ b/src/main/java/hyssopturn/catalog/EngineSpec.java
@@ -1,5 +1,7 @@
 package hyssopturn.catalog;
 
+import hyssopturn.model.LayerRange;
+
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
@@ -52,6 +54,16 @@
         return Optional.ofNullable(kinds.get(name));
     }
 
+    /**
+     * Returns whether the model has all layers of a range.
+     *
+     * @param range the range
+     * @return false if the range ends above the last layer
+     */
+    public boolean hasLayers(LayerRange range) {
+        return range.to() <= layers;
+    }
+
     /**
      * Counts the tokens that fit into an accelerator's memory beside layers.
      *
--- a/src/main/java/hyssopturn/chain/ChainSearch.java
+++ b/src/main/java/hyssopturn/chain/ChainSearch.java
@@ -296,6 +296,7 @@
             List<Endpoint> engines, Size size, Set<InstanceId> excluded) {
         return engines.stream()
                 .filter(e -> e.layers().isPresent() && spec.kind(e.kind()).isPresent())
+                .filter(e -> e.layers().stream().allMatch(spec::hasLayers))
                 .filter(e -> !excluded.contains(e.id()))
                 .map(e -> candidate(e, size))
                 .filter(c -> load.ownTokens(c.engine.id()) + neededTokens(c, size) <= c.capacity)
--- a/src/main/java/hyssopturn/chain/LayerController.java
+++ b/src/main/java/hyssopturn/chain/LayerController.java
@@ -119,15 +119,15 @@
         if (stopped) {
             return;
         }
+        clock.after(TICK, this::tick);
         long now = clock.nanos();
         if (now >= nextJoinNanos) {
             nextJoinNanos = now + JOIN_INTERVAL.toNanos();
             duties.join(DUTY_LEASE).whenComplete((granted, error) -> joined(now, granted, error));
         }
         if (holds(now)) {
-            catalog.get().ifPresent(c -> c.services().values().forEach(this::placeLayers));
+            catalog.get().ifPresent(c -> c.services().values().forEach(this::tryPlaceLayers));
         }
-        clock.after(TICK, this::tick);
     }
 
     private void joined(long requestedNanos, Duties.Assignment granted, Throwable error) {
@@ -152,6 +152,16 @@
         return fence.isPresent() && fence.getAsLong() > rejectedFence && now < heldUntilNanos;
     }
 
+    /** Places a service's layers; an unexpected error must not stop the other services. */
+    private void tryPlaceLayers(ServiceSpec service) {
+        try {
+            placeLayers(service);
+        } catch (RuntimeException e) {
+            logger.atSevere().withCause(e).atMostEvery(WARN_SECONDS, TimeUnit.SECONDS).log(
+                    "could not place the layers of %s", service.name());
+        }
+    }
+
     private void placeLayers(ServiceSpec service) {
         if (service.engine().isEmpty()) {
             return;
--- a/src/main/java/hyssopturn/chain/LayerPlanner.java
+++ b/src/main/java/hyssopturn/chain/LayerPlanner.java
@@ -84,6 +84,7 @@
         Map<String, List<Endpoint>> zones = new TreeMap<>();
         engines.stream()
                 .filter(e -> spec.kind(e.kind()).isPresent())
+                .filter(e -> e.layers().stream().allMatch(spec::hasLayers))
                 .sorted(Comparator.comparing(Endpoint::id))
                 .forEach(e -> zones.computeIfAbsent(e.zone(), z -> new ArrayList<>()).add(e));
         List<List<Endpoint>> groups = new ArrayList<>();
--- a/src/test/java/hyssopturn/chain/LayerControllerTest.java
+++ b/src/test/java/hyssopturn/chain/LayerControllerTest.java
@@ -4,6 +4,7 @@
 import static hyssopturn.chain.Engines.SPEC;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.everyItem;
@@ -90,6 +91,7 @@
     /** Records orders and returns the answer that a test sets. */
     private static final class FakeEngines implements EngineControl {
         private final List<Order> orders = new ArrayList<>();
+        private Optional<InstanceId> failing = Optional.empty();
         private CompletableFuture<OrderResult> answer =
                 CompletableFuture.completedFuture(OrderResult.ACCEPTED);
 
@@ -107,6 +109,9 @@
         @Override
         public CompletableFuture<OrderResult> place(
                 Address engine, InstanceId id, LayerRange range, long fence) {
+            if (failing.equals(Optional.of(id))) {
+                throw new IllegalStateException("order failed at once");
+            }
             orders.add(new Order(id, range, fence));
             return answer;
         }
@@ -139,6 +144,31 @@
             assertThat(engines.orders.stream().map(Order::fence).toList(), everyItem(equalTo(3L)));
         }
 
+        /** One announcement of layers that the model does not have ended all placement for good. */
+        @Test
+        void placesLayersThoughAnEngineAnnouncesLayersThatDoNotExist() {
+            duties.fence = OptionalLong.of(3);
+            announce(Engines.holding("odd", "a", LARGE, 70, 1_000));
+            announce(Engines.empty("e1", "a", LARGE));
+            controller.start();
+            clock.advance(WAIT);
+            announce(Engines.empty("e2", "a", LARGE));
+            clock.advance(WAIT);
+            assertThat(
+                    engines.orders.stream().map(order -> order.engine().value()).toList(),
+                    contains("e1", "e2"));
+        }
+
+        @Test
+        void ordersOtherEnginesThoughAnOrderToOneFailsAtOnce() {
+            duties.fence = OptionalLong.of(3);
+            announceFive();
+            engines.failing = Optional.of(new InstanceId("e0"));
+            controller.start();
+            clock.advance(WAIT);
+            assertThat(engines.orders, hasSize(4));
+        }
+
         @Test
         void waitsForNewEnginesToSettle() {
             duties.fence = OptionalLong.of(3);
