Streams that the exit of a node cuts off are logged, and so is the end of its drain

What operators saw: nothing. Cause: the drain ended such connections at its maximum time without ending their calls, and the command waited for the drain exactly as long, so that it often closed the log first. Change: 100 ms before the maximum the remaining answers are broken off as calls and logged (outcome broken, cause node stops); the command waits 200 ms longer than the drain lasts.

--- a/src/main/java/hyssopturn/cli/RouterCommand.java
+++ b/src/main/java/hyssopturn/cli/RouterCommand.java
@@ -33,6 +33,9 @@
     /** Part of the grace period that is left for ending the process. */
     private static final Duration EXIT_TIME = Duration.ofMillis(500);
 
+    /** Time after the end of the drain in which a node whose event loop is late may report it. */
+    private static final Duration DRAIN_MARGIN = Duration.ofMillis(200);
+
     private CommandSpec spec;
 
     @Spec
@@ -75,7 +78,7 @@
     private static void stop(RelayNode node, PlatformSettings platform) {
         Duration most = platform.grace().minus(EXIT_TIME);
         node.drain(DRAIN_LEAST, most)
-                .completeOnTimeout(null, most.toMillis(), TimeUnit.MILLISECONDS)
+                .completeOnTimeout(null, most.plus(DRAIN_MARGIN).toMillis(), TimeUnit.MILLISECONDS)
                 .join();
         node.close();
     }
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -57,6 +57,9 @@
     /** Part of the drain's maximum time that is left for sending the last answers. */
     private static final Duration LAST_ANSWERS_TIME = Duration.ofMillis(250);
 
+    /** Part of the drain's maximum time that is left for closing connections and logging. */
+    private static final Duration CLOSE_TIME = Duration.ofMillis(100);
+
     /** Idle timeout of a caller's connection; longer than the timeout of any route. */
     private static final Duration CALLER_IDLE_TIMEOUT = Duration.ofSeconds(60);
 
@@ -336,6 +339,7 @@
                     layers.stop();
                     clock.after(serving, () -> closeCallers(maximum.minus(serving), done));
                     clock.after(maximum.minus(LAST_ANSWERS_TIME), relay::answerRemaining);
+                    clock.after(maximum.minus(CLOSE_TIME), relay::breakOffRemaining);
                     clock.after(maximum, () -> stopped(done));
                 });
         return done;
--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -44,6 +44,7 @@
     private static final int MAX_ATTEMPTS = 4;
 
     private static final String RETRY = "retry";
+    private static final String NODE_STOPS = "node stops";
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -370,10 +371,15 @@
     /** Ends the request unless its answer has begun, which may still be completed. */
     final void giveUpBeforeExit() {
         if (!response.headWritten()) {
-            giveUp("node stops");
+            giveUp(NODE_STOPS);
         }
     }
 
+    /** Breaks off the answer, whose connection ends with the process. */
+    final void breakOffBeforeExit() {
+        abort(NODE_STOPS);
+    }
+
     private void respond(int status, String cause, String outcome, MultiMap headers) {
         if (!finish(outcome, status, cause)) {
             return;
--- a/src/main/java/hyssopturn/relay/Relay.java
+++ b/src/main/java/hyssopturn/relay/Relay.java
@@ -73,6 +73,11 @@
         List.copyOf(calls).forEach(Call::giveUpBeforeExit);
     }
 
+    /** Breaks off and logs every answer in progress, since the process exits. */
+    public void breakOffRemaining() {
+        List.copyOf(calls).forEach(Call::breakOffBeforeExit);
+    }
+
     /**
      * Returns the number of requests in progress.
      *
--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -103,6 +103,7 @@
     private final List<String> requestIds = Collections.synchronizedList(new ArrayList<>());
     private final AtomicInteger requestCount = new AtomicInteger();
     private final TraceLog trace;
+    private final Relay relay;
     private final int port;
     private final Map<Address, Liveness> failedProbes = new ConcurrentHashMap<>();
     private final Map<String, Endpoint> announced = new HashMap<>();
@@ -153,7 +154,7 @@
                                 STALL_TIMEOUT,
                                 STALL_TIMEOUT,
                                 Duration.ofSeconds(1)));
-        Relay relay =
+        relay =
                 new Relay(
                         parts,
                         new HttpEngineControl(
@@ -232,6 +233,15 @@
         }
     }
 
+    /** Ends the requests in progress as a node does whose process is about to exit. */
+    void endRemaining() {
+        onLoop(
+                () -> {
+                    relay.answerRemaining();
+                    relay.breakOffRemaining();
+                });
+    }
+
     /** Sets whether decoding the headers of requests fails with an unexpected error. */
     void decodingFails(boolean fails) {
         decodingFails = fails;
