A slow plain endpoint is not left before there is another one

What callers saw: a repeatable request to a plain service got 502 after twice its route's target time, though its only endpoint answered soon after.

When the retry budget was used up at that moment it never looked again.

Fix: a slow endpoint is left only if a retry is allowed and another endpoint can be chosen. Otherwise the request waits on (AttemptKept) and looks again after twice the wait, and a little more.

--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -10,15 +10,20 @@
 
 import java.time.Duration;
 import java.util.Comparator;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 
 /** A request to a plain service, whose answer is passed on once it has been read completely. */
 final class PlainCall extends Call {
     /** Multiple of the route's target time after which a repeatable request is sent elsewhere. */
     private static final int SLOW_TARGETS = 2;
 
+    /** Least time before another endpoint is looked for again. */
+    private static final Duration MIN_RECHECK_DELAY = Duration.ofMillis(100);
+
+    private static final String SLOW = "slow";
+
     private final ServiceLoad load;
     private Optional<Endpoint> current = Optional.empty();
     private Optional<Clock.Timer> slowTimer = Optional.empty();
@@ -58,17 +63,18 @@
 
     /** Chooses the endpoint with the fewest requests of this node, preferably in its own zone. */
     private Optional<Endpoint> choose() {
-        List<Endpoint> usable =
-                context.routingState().roster().usable(admitted.service(), now()).stream()
-                        .filter(e -> !excluded.contains(e.id()) && mayAttempt(e))
-                        .toList();
-        return usable.stream()
+        return candidates()
                 .min(
                         Comparator.comparingInt((Endpoint e) -> load.requestsAt(e.id()))
                                 .thenComparing(e -> !e.zone().equals(context.settings().zone()))
                                 .thenComparing(Endpoint::id));
     }
 
+    private Stream<Endpoint> candidates() {
+        return context.routingState().roster().usable(admitted.service(), now()).stream()
+                .filter(e -> !excluded.contains(e.id()) && mayAttempt(e));
+    }
+
     private void unreachable(Endpoint endpoint, Throwable error) {
         if (ended()) {
             return;
@@ -88,8 +94,7 @@
         }
         markSending();
         if (admitted.route().retryPolicy().allowsRetry()) {
-            Duration delay = admitted.route().target().multipliedBy(SLOW_TARGETS);
-            slowTimer = Optional.of(context.clock().after(delay, () -> handleSlow(endpoint)));
+            watch(endpoint, admitted.route().target().multipliedBy(SLOW_TARGETS));
         }
         opened.send(admitted.body())
                 .onComplete(
@@ -97,16 +102,39 @@
                         e -> handleFailure(endpoint, opened, "connection failed"));
     }
 
-    private void handleSlow(Endpoint endpoint) {
-        if (ended() || !current(endpoint) || retryObstacle().isPresent()) {
+    private void watch(Endpoint endpoint, Duration delay) {
+        slowTimer = Optional.of(context.clock().after(delay, () -> handleSlow(endpoint, delay)));
+    }
+
+    /**
+     * Leaves a slow endpoint if the request may be sent to another one. Otherwise it waits on and
+     * looks again later, less and less often.
+     */
+    private void handleSlow(Endpoint endpoint, Duration delay) {
+        if (ended() || !current(endpoint)) {
+            return;
+        }
+        Optional<String> obstacle = obstacleToLeaving(endpoint);
+        if (obstacle.isPresent()) {
+            keepAttempt(endpoint, SLOW, Optional.empty(), obstacle.get());
+            watch(endpoint, delay.multipliedBy(2).plus(MIN_RECHECK_DELAY));
             return;
         }
-        replaceAttempt(endpoint, "slow", Optional.empty());
         excluded.add(endpoint.id());
+        replaceAttempt(endpoint, SLOW, Optional.empty());
         cancelUpstream();
         attempt();
     }
 
+    private Optional<String> obstacleToLeaving(Endpoint endpoint) {
+        Optional<String> obstacle = retryObstacle();
+        if (obstacle.isPresent()) {
+            return obstacle;
+        }
+        boolean otherExists = candidates().anyMatch(e -> !e.id().equals(endpoint.id()));
+        return otherExists ? Optional.empty() : Optional.of("no other endpoint");
+    }
+
     /**
      * Returns whether the attempt in progress is at the endpoint. Each endpoint gets at most one
      * attempt, so the endpoint identifies the attempt.
--- a/src/test/java/hyssopturn/platform/SilentEnginesTest.java
+++ b/src/test/java/hyssopturn/platform/SilentEnginesTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
 import hyssopturn.model.Address;
@@ -211,4 +212,35 @@
             assertWhole(harness.call("/write/x", Map.of()));
         }
     }
+
+    @Nested
+    class PlainEndpoints {
+        private void answerLate(HttpServerRequest request) {
+            harness.runAfter(SILENCE, () -> RelayHarness.signed(request).end("found"));
+        }
+
+        @Test
+        void areWaitedForWhenThereIsNoOther() {
+            harness.service("s1", this::answerLate);
+            assertThat(harness.call("/find/x", Map.of()).body(), equalTo("found"));
+            assertThat(harness.requestIds(), hasSize(1));
+        }
+
+        @Test
+        void areWaitedForWhenTheRetryBudgetIsUsedUp() {
+            harness.service("s1", this::answerLate);
+            harness.service("s2", this::answerLate);
+            harness.exhaustRetries();
+            assertThat(harness.call("/find/x", Map.of()).body(), equalTo("found"));
+        }
+
+        @Test
+        void areLeftOnceAnotherAppears() {
+            harness.service("s1", r -> {});
+            var answer = CompletableFuture.supplyAsync(() -> harness.call("/find/x", Map.of()));
+            awaitSilence();
+            harness.service("s2", r -> RelayHarness.signed(r).end("found"));
+            assertThat(answer.join().body(), equalTo("found"));
+        }
+    }
 }
