The endless server of the tests is endless on each connection

EndlessAnswersTest.OfAnEngine.returnBadGatewayAndAreCutOff failed in all five cases since: 504 at the caller's deadline of 10 s in place of 502. Cause: the server stopped repeating its bytes on all connections once the first one was closed.

Now each connection repeats its bytes until it is closed itself, which is what the test's name says, and closed() waits for every connection that was opened, not for the first alone. No assertion or bound of EndlessAnswersTest is changed. It is at least as strict: each of the attempts has to be cut off for its endless answer.

--- a/src/test/java/hyssopturn/platform/EndlessServer.java
+++ b/src/test/java/hyssopturn/platform/EndlessServer.java
@@ -6,9 +6,11 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
 
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 
-/** Server that answers a request with some initial bytes, then repeats other bytes endlessly. */
+/** Server that answers each request with some initial bytes, then repeats other bytes endlessly. */
 final class EndlessServer {
     private static final String HOST = "127.0.0.1";
     private static final int REPEATS = 1_000;
@@ -17,7 +19,7 @@
     private final Buffer first;
     private final Buffer repeated = Buffer.buffer();
     private final Address address;
-    private final CompletableFuture<Void> closed = new CompletableFuture<>();
+    private final List<CompletableFuture<Void>> connections = new CopyOnWriteArrayList<>();
 
     EndlessServer(Vertx vertx, String first, String repeated) {
         this.vertx = vertx;
@@ -35,6 +37,8 @@
     }
 
     private void accept(NetSocket socket) {
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        connections.add(closed);
         socket.exceptionHandler(
                 e -> {
                     // expected: the client closes the connection while bytes are in flight
@@ -44,28 +48,33 @@
                 request -> {
                     socket.handler(more -> {});
                     socket.write(first);
-                    flood(socket);
+                    flood(socket, closed);
                 });
     }
 
-    private void flood(NetSocket socket) {
+    private void flood(NetSocket socket, CompletableFuture<Void> closed) {
         if (closed.isDone()) {
             return;
         }
         if (socket.writeQueueFull()) {
-            socket.drainHandler(v -> flood(socket));
+            socket.drainHandler(v -> flood(socket, closed));
             return;
         }
         socket.write(repeated);
-        vertx.runOnContext(v -> flood(socket));
+        vertx.runOnContext(v -> flood(socket, closed));
     }
 
     Address address() {
         return address;
     }
 
-    /** Returns a future that completes when the client has closed its connection. */
+    /**
+     * Returns a future that completes when the client has closed all connections that it has opened
+     * so far, at least one.
+     */
     CompletableFuture<Void> closed() {
-        return closed;
+        return connections.isEmpty()
+                ? new CompletableFuture<>()
+                : CompletableFuture.allOf(connections.toArray(CompletableFuture[]::new));
     }
 }
