Moves of a stream between chains have a class of their own

ChainMoves holds the moves (detour, retry elsewhere, departure, overdue first event); StreamCall keeps the attempt, its chain and the answer.

--- /dev/null
+++ b/src/main/java/hyssopturn/relay/Admitted.java
@@ -0,0 +1,29 @@
+package hyssopturn.relay;
+
+import hyssopturn.catalog.Account;
+import hyssopturn.catalog.Catalog;
+import hyssopturn.catalog.Route;
+
+import io.vertx.core.buffer.Buffer;
+
+import java.time.Duration;
+import java.util.Optional;
+
+/** A request that was admitted, with the configuration that applies to it. */
+record Admitted(
+        Catalog catalog,
+        Route route,
+        String service,
+        Optional<Account> account,
+        CallHeaders headers,
+        Buffer body,
+        long arrivedNanos) {
+    String id() {
+        return headers.id().orElse("");
+    }
+
+    Duration timeout() {
+        Duration timeout = route.timeout();
+        return headers.timeout().filter(p -> p.compareTo(timeout) < 0).orElse(timeout);
+    }
+}
--- a/src/main/java/hyssopturn/relay/Attempt.java
+++ b/src/main/java/hyssopturn/relay/Attempt.java
@@ -3,6 +3,7 @@
 import hyssopturn.catalog.Account;
 import hyssopturn.chain.EngineChain;
 import hyssopturn.fleet.Endpoint;
+import hyssopturn.trace.TraceEvent;
 
 import java.time.Duration;
 import java.util.Optional;
@@ -22,4 +23,19 @@
         Optional<EngineChain> chain,
         Optional<Account> account,
         Duration timeout,
-        OptionalLong resumeAfter) {}
+        OptionalLong resumeAfter) {
+    /** Describes for the log that a request is offered to the endpoint. */
+    TraceEvent.Offered offered(int number, Admitted admitted, String ownZone, long zoneTokens) {
+        return new TraceEvent.Offered(
+                admitted.id(),
+                number,
+                endpoint.id().value(),
+                chain.map(Object::toString).orElse(""),
+                resumeAfter.orElse(-1),
+                admitted.headers().promptTokens(),
+                admitted.headers().answerTokens(),
+                timeout.toMillis(),
+                chain.map(c -> c.reach(ownZone)).orElse(""),
+                zoneTokens);
+    }
+}
--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -3,8 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 
 import hyssopturn.catalog.Account;
-import hyssopturn.catalog.Catalog;
-import hyssopturn.catalog.Route;
 import hyssopturn.fleet.Endpoint;
 import hyssopturn.fleet.Evidence;
 import hyssopturn.model.InstanceId;
@@ -14,7 +12,6 @@
 import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
@@ -64,25 +61,6 @@
     private long maxPauseNanos;
     private Optional<String> lastFailure = Optional.empty();
 
-    /** A request that was admitted, with the configuration that applies to it. */
-    record Admitted(
-            Catalog catalog,
-            Route route,
-            String service,
-            Optional<Account> account,
-            CallHeaders headers,
-            Buffer body,
-            long arrivedNanos) {
-        String id() {
-            return headers.id().orElse("");
-        }
-
-        Duration timeout() {
-            Duration timeout = route.timeout();
-            return headers.timeout().filter(p -> p.compareTo(timeout) < 0).orElse(timeout);
-        }
-    }
-
     Call(
             RelayContext context,
             HttpServerRequest request,
@@ -169,18 +147,10 @@
         attemptedEndpoints.add(attempt.endpoint().id());
         context.trace()
                 .record(
-                        new TraceEvent.Offered(
-                                admitted.id(),
+                        attempt.offered(
                                 attempts,
-                                attempt.endpoint().id().value(),
-                                attempt.chain().map(Object::toString).orElse(""),
-                                attempt.resumeAfter().orElse(-1),
-                                admitted.headers().promptTokens(),
-                                admitted.headers().answerTokens(),
-                                attempt.timeout().toMillis(),
-                                attempt.chain()
-                                        .map(c -> c.reach(context.settings().zone()))
-                                        .orElse(""),
+                                admitted,
+                                context.settings().zone(),
                                 Math.round(context.load().zoneTokens())));
         RequestOptions options =
                 new RequestOptions()
--- a/src/main/java/hyssopturn/relay/Relay.java
+++ b/src/main/java/hyssopturn/relay/Relay.java
@@ -195,8 +195,8 @@
             long arrivedNanos) {
         String service = route.pickService(context.random().nextDouble());
         context.retryBudget().recordRequest(service, context.clock().nanos());
-        Call.Admitted admitted =
-                new Call.Admitted(catalog, route, service, account, headers, body, arrivedNanos);
+        Admitted admitted =
+                new Admitted(catalog, route, service, account, headers, body, arrivedNanos);
         Optional<EngineSpec> engine = catalog.service(service).flatMap(ServiceSpec::engine);
         Call call =
                 engine.isPresent()
--- a/src/main/java/hyssopturn/relay/StallDetector.java
+++ b/src/main/java/hyssopturn/relay/StallDetector.java
@@ -83,7 +83,7 @@
     private void checkStreams(long now) {
         repeatedSearches = 0;
         List.copyOf(streams).forEach(stream -> checkEngines(stream, now));
-        List.copyOf(streams).forEach(stream -> stream.handleOverdueFirstEvent(now));
+        List.copyOf(streams).forEach(stream -> stream.moves().handleOverdueFirstEvent(now));
         Map<Endpoint, List<StreamCall>> waiting = new HashMap<>();
         for (StreamCall stream : streams) {
             if (stream.queryDue(now)) {
@@ -107,7 +107,7 @@
         for (StreamCall stream : List.copyOf(streams).reversed()) {
             Optional<Endpoint> departing = stream.findDeparting();
             if (departing.isPresent()) {
-                stream.replaceDeparting(departing.get(), engines);
+                stream.moves().replaceDeparting(departing.get(), engines);
                 return;
             }
         }
@@ -124,7 +124,7 @@
         }
         Optional<Endpoint> suspect = stream.findSuspect();
         if (suspect.isPresent() && maySearch(stream, now)) {
-            stream.replaceSuspected(suspect.get(), engines);
+            stream.moves().replaceSuspected(suspect.get(), engines);
             return;
         }
         stream.chain().orElseThrow().hops().stream()
@@ -205,7 +205,7 @@
         }
         for (StreamCall stream : List.copyOf(streams)) {
             if (stream.uses(engine.id()) && stream.searchDue(now)) {
-                stream.replaceSuspected(engine, engines);
+                stream.moves().replaceSuspected(engine, engines);
             }
         }
         return newlySuspected;
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -2,24 +2,17 @@
 
 import hyssopturn.catalog.EngineSpec;
 import hyssopturn.chain.EngineChain;
-import hyssopturn.chain.ZoneLink;
 import hyssopturn.fleet.Endpoint;
 import hyssopturn.model.InstanceId;
-import hyssopturn.port.EngineControl;
-import hyssopturn.trace.TraceEvent;
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerRequest;
 
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.CompletableFuture;
-import java.util.function.Predicate;
 
 /**
  * A request whose answer is a stream of events from a chain of engines.
@@ -32,6 +25,7 @@
     private final StallDetector stallDetector;
     private final StreamProgress progress;
     private final EventWait wait;
+    private final ChainMoves moves;
     private final Set<InstanceId> avoidedFirst = new HashSet<>();
     private Optional<EngineChain> chain = Optional.empty();
     private Optional<InstanceId> refusingEngine = Optional.empty();
@@ -49,6 +43,7 @@
         chainFinder = new ChainFinder(context, admitted.service(), spec, admitted.headers());
         progress = new StreamProgress(admitted.headers().resumeAfter());
         wait = new EventWait(context.settings());
+        moves = new ChainMoves(context, this, chainFinder, wait);
     }
 
     @Override
@@ -61,7 +56,8 @@
         startOn(found.get());
     }
 
-    private Optional<EngineChain> findChain(Set<InstanceId> unusable) {
+    /** Finds a chain for the next attempt. */
+    Optional<EngineChain> findChain(Set<InstanceId> unusable) {
         return chainFinder
                 .findWithCapacity(e -> mayAttempt(e) && !avoidedFirst.contains(e.id()), unusable)
                 .or(() -> chainFinder.findAny(this::mayAttempt, unusable));
@@ -83,7 +79,13 @@
                         e -> unreachable(attemptId, first, e));
     }
 
-    private boolean stale(int attemptId) {
+    /** Returns the number of the current attempt. */
+    int attemptId() {
+        return currentAttemptId;
+    }
+
+    /** Returns whether an attempt is not the current one any more. */
+    boolean stale(int attemptId) {
         return ended() || attemptId != currentAttemptId;
     }
 
@@ -95,12 +97,17 @@
         attempt();
     }
 
+    /** Prefers other engines as the first one of the next chain. */
+    void avoidFirst(Endpoint first) {
+        avoidedFirst.add(first.id());
+    }
+
     /**
      * Handles a lost connection. The engine may have lost only this answer, so it is avoided as the
      * first engine but not excluded.
      */
     private void noAnswer(int attemptId, Endpoint first) {
-        avoidedFirst.add(first.id());
+        avoidFirst(first);
         recover(attemptId, "connection failed");
     }
 
@@ -258,62 +265,8 @@
         }
     }
 
-    /**
-     * Replaces an engine that is suspected to have failed, by rerouting the running request if the
-     * other engines can continue it, otherwise by a retry on another chain. If neither is possible,
-     * the request goes on waiting: an engine that is only silent may continue.
-     */
-    void replaceSuspected(Endpoint engine, EngineControl engines) {
-        guarded(
-                () -> {
-                    Optional<EngineChain> detour = findDetour(engine).filter(this::mayUseDetour);
-                    if (detour.isPresent()) {
-                        rerouteAround(engine, detour.get(), engines);
-                    } else {
-                        retryElsewhere("engine stalled", engine);
-                    }
-                });
-    }
-
-    /** Retries on another chain if one can be used, otherwise keeps the attempt in progress. */
-    private void retryElsewhere(String cause, Endpoint suspect) {
-        Optional<String> obstacle = retryObstacle();
-        if (obstacle.isPresent()) {
-            keepWaiting(cause, suspect, obstacle.get());
-            return;
-        }
-        Optional<EngineChain> other = findReplacement(suspect);
-        if (other.isEmpty()) {
-            keepWaiting(cause, suspect, "no other chain");
-            return;
-        }
-        if (!chainFinder.reserveZoneLinks(other.get().links())) {
-            keepWaiting(cause, suspect, "no other chain within a zone");
-            return;
-        }
-        moveTo(other.get(), cause, suspect);
-    }
-
-    private void keepWaiting(String cause, Endpoint suspect, String obstacle) {
-        Endpoint first = chain.orElseThrow().first().engine();
-        keepAttempt(first, cause, Optional.of(suspect.id()), obstacle);
-        wait.markNotReplaced(now());
-    }
-
-    /** Finds another chain, with the room that this request would leave on the present one. */
-    private Optional<EngineChain> findReplacement(Endpoint suspect) {
-        EngineChain current = chain.orElseThrow();
-        Set<InstanceId> unusable = new HashSet<>(excluded);
-        unusable.add(suspect.id());
-        context.load().remove(current, chainFinder.tokens());
-        try {
-            return findChain(unusable);
-        } finally {
-            context.load().add(current, chainFinder.tokens());
-        }
-    }
-
-    private void moveTo(EngineChain other, String cause, Endpoint suspect) {
+    /** Replaces the attempt in progress by one on another chain. */
+    void moveTo(EngineChain other, String cause, Endpoint suspect) {
         Endpoint first = chain.orElseThrow().first().engine();
         currentAttemptId++;
         replaceAttempt(first, cause, Optional.of(suspect.id()));
@@ -321,112 +274,13 @@
         startOn(other);
     }
 
-    /**
-     * Returns whether a detour may be used. If the detour crosses to another zone, the activations
-     * of all tokens so far pass the link between the zones, for all streams of the failed engine at
-     * once; a chain within one zone is better then.
-     */
-    private boolean mayUseDetour(EngineChain detour) {
-        List<ZoneLink> extra = extraLinks(detour);
-        return extra.isEmpty() || (!canContinueInOneZone() && chainFinder.reserveZoneLinks(extra));
-    }
-
-    private List<ZoneLink> extraLinks(EngineChain other) {
-        List<ZoneLink> extra = new ArrayList<>(other.links());
-        chain.orElseThrow().links().forEach(extra::remove);
-        return extra;
-    }
-
-    private boolean canContinueInOneZone() {
-        return mayRetryElsewhere() && findInOneZone(this::mayAttempt).isPresent();
-    }
-
-    private Optional<EngineChain> findInOneZone(Predicate<Endpoint> first) {
-        return chainFinder.findWithCapacity(first, excluded).filter(c -> c.crossings() == 0);
-    }
-
-    private void rerouteAround(Endpoint engine, EngineChain detour, EngineControl engines) {
-        int attemptId = currentAttemptId;
-        long orderedNanos = now();
-        EngineChain previous = chain.orElseThrow();
-        reroute(detour, engines)
-                .whenComplete(
-                        (done, error) -> {
-                            if (stale(attemptId)) {
-                                return;
-                            }
-                            traceReroute("engine failed", error == null && done);
-                            if ((error != null || !done) && chain.equals(Optional.of(detour))) {
-                                handleNotRerouted(previous, engine, orderedNanos);
-                            }
-                        });
-    }
-
-    /**
-     * Handles a reroute that was refused or not confirmed. The engine may still carry it out; until
-     * then the previous chain is the one to watch, since the suspected engine is part of it.
-     */
-    private void handleNotRerouted(EngineChain previous, Endpoint engine, long orderedNanos) {
-        switchTo(previous);
-        if (!wait.deliveredAfter(orderedNanos)) {
-            guarded(() -> retryElsewhere("not rerouted", engine));
-        }
-    }
-
-    /**
-     * Replaces an engine that is about to shut down but still works, if other engines can take over
-     * its layers while the stream continues. Otherwise the chain stays as it is.
-     */
-    void replaceDeparting(Endpoint engine, EngineControl engines) {
-        if (!excluded.add(engine.id())) {
-            return;
-        }
-        Optional<EngineChain> detour = findDetour(engine);
-        if (detour.isEmpty() || !extraLinks(detour.get()).isEmpty()) {
-            return;
-        }
-        int attemptId = currentAttemptId;
-        EngineChain previous = chain.orElseThrow();
-        reroute(detour.get(), engines)
-                .whenComplete(
-                        (done, error) ->
-                                handleDepartureReroute(attemptId, previous, error != null || done));
-    }
-
-    private void handleDepartureReroute(int attemptId, EngineChain previous, boolean accepted) {
-        if (stale(attemptId)) {
-            return;
-        }
-        traceReroute("engine leaves", accepted);
-        if (!accepted) {
-            switchTo(previous);
-        }
-    }
-
-    private Optional<EngineChain> findDetour(Endpoint engine) {
-        return chainFinder.findDetour(chain.orElseThrow(), engine, excluded);
-    }
-
-    private void switchTo(EngineChain other) {
+    /** Records that the running request continues on another chain. */
+    void switchTo(EngineChain other) {
         context.load().remove(chain.orElseThrow(), chainFinder.tokens());
         context.load().add(other, chainFinder.tokens());
         chain = Optional.of(other);
     }
 
-    private void traceReroute(String cause, boolean done) {
-        context.trace()
-                .record(
-                        new TraceEvent.Rerouted(
-                                id(), chain.map(Object::toString).orElse(""), cause, done));
-    }
-
-    private CompletableFuture<Boolean> reroute(EngineChain other, EngineControl engines) {
-        switchTo(other);
-        Endpoint first = other.first().engine();
-        wait.markQueried(now());
-        return engines.reroute(first.address(), first.id(), id(), ChainFinder.path(other));
-    }
-
     /** Returns whether the first engine should be queried about the stall. */
     boolean queryDue(long nowNanos) {
         return chain.isPresent() && wait.queryDue(nowNanos);
@@ -439,30 +293,6 @@
         return chain.isPresent() && wait.checkDue(nowNanos);
     }
 
-    /**
-     * Handles an overdue first event: counts the first engine as full, and retries on another chain
-     * before the caller gives up.
-     */
-    void handleOverdueFirstEvent(long nowNanos) {
-        if (chain.isEmpty() || !wait.firstOverdue(nowNanos)) {
-            return;
-        }
-        Endpoint first = chain.get().first().engine();
-        context.load().recordRefusal(first.id(), nowNanos);
-        if (wait.switchDue(nowNanos) && mayRetryElsewhere() && retryObstacle().isEmpty()) {
-            guarded(() -> leaveQueue(first));
-        }
-    }
-
-    private void leaveQueue(Endpoint first) {
-        findInOneZone(e -> mayAttempt(e) && !e.id().equals(first.id()))
-                .ifPresent(
-                        other -> {
-                            avoidedFirst.add(first.id());
-                            moveTo(other, "first event overdue", first);
-                        });
-    }
-
     /** Returns whether a replacement of a suspected engine may be searched for now. */
     boolean searchDue(long nowNanos) {
         return chain.isPresent() && wait.searchDue(nowNanos);
@@ -482,6 +312,12 @@
         wait.markQueried(nowNanos);
     }
 
+    /** Returns the moves of this stream to other engines. */
+    ChainMoves moves() {
+        return moves;
+    }
+
+    /** Returns the chain of the attempt in progress. */
     Optional<EngineChain> chain() {
         return chain;
     }
