--- a/src/test/java/hyssopturn/platform/Configs.java
+++ b/src/test/java/hyssopturn/platform/Configs.java
@@ -12,43 +12,53 @@
 
     /** Returns a configuration with one idempotent and one unsafe route. */
     static String version(int version) {
-        return version(version, 20_000, 0, 0);
+        return version(version, "records", 20_000, 0, 0);
     }
 
     /**
      * Returns a configuration with one idempotent and one unsafe route.
      *
      * @param version version of the configuration
+     * @param service service of both routes, "records" or "archive"
      * @param timeoutMillis timeout of both routes
      * @param moreRoutes number of other routes
      * @param moreAccounts number of other accounts
      */
-    static String version(int version, int timeoutMillis, int moreRoutes, int moreAccounts) {
+    static String version(
+            int version, String service, int timeoutMillis, int moreRoutes, int moreAccounts) {
         String routes =
-                route("l", "/look/", "idempotent", timeoutMillis)
+                route("l", "/look/", "idempotent", service, timeoutMillis)
                         + ","
-                        + route("b", "/book/", "unsafe", timeoutMillis)
+                        + route("b", "/book/", "unsafe", service, timeoutMillis)
                         + IntStream.range(0, moreRoutes)
                                 .mapToObj(
-                                        i -> "," + route("m" + i, "/m" + i + "/", "unsafe", 1_000))
+                                        i ->
+                                                ","
+                                                        + route(
+                                                                "m" + i,
+                                                                "/m" + i + "/",
+                                                                "unsafe",
+                                                                "records",
+                                                                1_000))
                                 .collect(Collectors.joining());
         String accounts =
                 IntStream.range(0, moreAccounts)
                         .mapToObj(i -> ",{\"Name\":\"t%d\",\"ApiKeys\":[\"k%d\"]}".formatted(i, i))
                         .collect(Collectors.joining());
         return """
-        {"Version":%d,"Routes":[%s],"Services":[{"Name":"records"}],
+        {"Version":%d,"Routes":[%s],"Services":[{"Name":"records"},{"Name":"archive"}],
          "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":65536,"IdleTimeoutMs":15000},
          "Tenants":[{"Name":"ann","ApiKeys":["%s"]}%s]}
         """
                 .formatted(version, routes, KEY, accounts);
     }
 
-    private static String route(String name, String prefix, String type, int timeoutMillis) {
+    private static String route(
+            String name, String prefix, String type, String service, int timeoutMillis) {
         return """
         {"Name":"%s","Host":"%s","PathPrefix":"%s","Type":"%s","TimeoutMs":%d,
-         "TargetLatencyMs":10000,"Service":"records","MaxAttempts":2}\
+         "TargetLatencyMs":10000,"Service":"%s","MaxAttempts":2}\
         """
-                .formatted(name, HOST, prefix, type, timeoutMillis);
+                .formatted(name, HOST, prefix, type, timeoutMillis, service);
     }
 }
--- a/src/test/java/hyssopturn/platform/KeptConnection.java
+++ b/src/test/java/hyssopturn/platform/KeptConnection.java
@@ -13,6 +13,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Caller on one connection with a small receive buffer; sends and reads when the test says so. */
 final class KeptConnection implements AutoCloseable {
@@ -20,9 +21,11 @@
     private static final int READ_TIMEOUT_MILLIS = 10_000;
     private static final int STARTUP_MILLIS = 10_000;
     private static final int OK = 200;
+    private static final AtomicInteger COUNT = new AtomicInteger();
 
     private final Socket socket = new Socket();
     private final InputStream in;
+    private final int number = COUNT.incrementAndGet();
     private int requests;
 
     KeptConnection(Address front) throws IOException {
@@ -62,13 +65,18 @@
                         path,
                         Configs.HOST,
                         Configs.KEY,
-                        socket.getLocalPort(),
+                        number,
                         ++requests,
                         headers,
                         body.length(),
                         body);
     }
 
+    /** Returns the id of the last request. */
+    String lastId() {
+        return "k%d-%d".formatted(number, requests);
+    }
+
     /** Sends bytes as they are. */
     void sendRaw(String bytes) throws IOException {
         socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
--- a/src/test/java/hyssopturn/platform/ScriptedPlatform.java
+++ b/src/test/java/hyssopturn/platform/ScriptedPlatform.java
@@ -28,7 +28,7 @@
 
 /**
  * Test harness: a whole node on a platform whose configurations are scripted by tests, with one
- * plain worker. Platform and node run on event loops of their own.
+ * plain worker of each service. Platform and node run on event loops of their own.
  */
 final class ScriptedPlatform implements AutoCloseable {
     private static final String HOST = "127.0.0.1";
@@ -48,7 +48,7 @@
      * Starts the platform and a node.
      *
      * @param config the first configuration
-     * @param worker the plain worker of the service "records"
+     * @param worker answers as the workers of both services
      */
     ScriptedPlatform(String config, Handler<HttpServerRequest> worker) {
         this.worker = worker;
@@ -162,8 +162,9 @@
                 items.add(item("config", configs.getLast(), end - 1));
             }
             case "keyed.servers" -> {
-                end = 1;
-                items.add(item("plain-1", Bytes.utf8(announcement()), 0));
+                end = 2;
+                items.add(item("plain-1", Bytes.utf8(announcement("records")), 0));
+                items.add(item("plain-2", Bytes.utf8(announcement("archive")), 1));
             }
             default -> {
                 // the node's own streams are empty
@@ -179,9 +180,9 @@
                 .put("Offset", offset);
     }
 
-    private String announcement() {
+    private String announcement(String service) {
         return new JsonObject()
-                .put("Service", "records")
+                .put("Service", service)
                 .put("Address", store.toString())
                 .put("Zone", "a")
                 .put("Version", 1)
