An endpoint's answer with a status that ends no request is not passed on

What callers saw: the status line of a faulty endpoint as it came, with status 0, 101, 199, 600 or 2000. To most clients 101 or 199 is no final answer: they wait on for one that never comes.

Cause: any status was taken for the endpoint's answer if the id and the signature fit. Now a status outside 200 to 599 counts as a foreign answer: the request is repeated where that is allowed, otherwise answered with 502.

OddHeadsTest.inAStatusLineAreNotPassedOnAsAnAnswer on the old code: Expected: <502> but: was <0>, <101>, <199>, <600>, <2000> inTheStatusLineOfAStreamAreNotPassedOnAsAnAnswer: Expected: <502> but: was <101> The rest of OddHeadsTest passes on the old code: headers that HTTP does not allow leave no request without an answer and exclude no endpoint.

--- a/src/main/java/hyssopturn/relay/EndpointReply.java
+++ b/src/main/java/hyssopturn/relay/EndpointReply.java
@@ -23,6 +23,7 @@
     private static final int SUCCESS_LOW = 200;
     private static final int SUCCESS_HIGH = 299;
     private static final int SERVER_ERROR = 500;
+    private static final int HIGHEST_STATUS = 599;
     private static final Set<Integer> REFUSALS = Set.of(408, 421, 429, 503);
 
     /**
@@ -55,12 +56,14 @@
     }
 
     /**
-     * Returns whether the answer belongs to a request and comes from an endpoint.
+     * Returns whether the answer is the final one to a request and comes from an endpoint.
      *
      * @param id id of the request
-     * @return true if the answer is signed and has no other request's id
+     * @return true if the answer is signed, has the status of a final answer and no other request's
+     *     id
      */
     public boolean matches(Optional<String> id) {
-        return signed && (requestId.isEmpty() || requestId.equals(id));
+        boolean last = status >= SUCCESS_LOW && status <= HIGHEST_STATUS;
+        return last && signed && (requestId.isEmpty() || requestId.equals(id));
     }
 }
