--- a/src/test/java/hyssopturn/platform/AnswerEndsTest.java
+++ b/src/test/java/hyssopturn/platform/AnswerEndsTest.java
@@ -69,8 +69,8 @@
             RelayHarness.Answer answer =
                     call(
                             "HTTP/1.1 100 Continue\r\n\r\n"
-                                + "HTTP/1.1 103 Early Hints\r\n"
-                                + "Link: x\r\n\r\n"
+                                    + "HTTP/1.1 103 Early Hints\r\n"
+                                    + "Link: x\r\n\r\n"
                                     + HEAD
                                     + "Content-Length: 5\r\n\r\nfound",
                             RawServer.End.CLOSED);
