--- a/src/main/java/hyssopturn/platform/JsonValue.java
+++ b/src/main/java/hyssopturn/platform/JsonValue.java
@@ -10,8 +10,11 @@
     static final class MalformedException extends RuntimeException {
         private static final long serialVersionUID = 1L;
 
+        /** Messages may quote what a writer of the log has sent, of any length. */
+        private static final int MAX_MESSAGE_LENGTH = 500;
+
         MalformedException(String message) {
-            super(message);
+            super(message.substring(0, Math.min(message.length(), MAX_MESSAGE_LENGTH)));
         }
     }
 
--- a/src/main/java/hyssopturn/platform/PlatformAdapter.java
+++ b/src/main/java/hyssopturn/platform/PlatformAdapter.java
@@ -109,7 +109,7 @@
         }
         try {
             return Optional.of(CatalogDecoder.decode(entry.value().get()));
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | StackOverflowError e) {
             throw new IllegalArgumentException(e.getMessage(), e);
         }
     }
@@ -124,7 +124,7 @@
     public Endpoint endpoint(KeyedLog.Entry entry) {
         try {
             return announcements.decode(entry.key(), entry.value().orElseThrow());
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | StackOverflowError e) {
             throw new IllegalArgumentException(e.getMessage(), e);
         }
     }
