A wrong time of start in the list no longer shuts out an endpoint for good

An entry under the id of a sound endpoint, with a time of start in the future, made the node ignore each later announcement of that endpoint (an earlier start is ignored, since a late write of a former process may arrive after a restart). The endpoint was lost to all nodes, and the odd entry stayed in force, until its removal.

An announcement of an earlier start is now believed again once the later start has been silent for three seconds; a late write of a former process finds the new one announcing itself about once a second.

RosterTest covers both directions. It was run on the new code only.

--- a/src/main/java/hyssopturn/fleet/Roster.java
+++ b/src/main/java/hyssopturn/fleet/Roster.java
@@ -36,6 +36,9 @@
     /** Time under suspicion after which other endpoints should replace an endpoint. */
     public static final Duration LOST_AFTER = Duration.ofMillis(300);
 
+    /** Time without an announcement after which one of an earlier start is believed again. */
+    public static final Duration OVERRIDDEN_AFTER = Duration.ofSeconds(3);
+
     private final Map<InstanceId, Entry> entries = new HashMap<>();
     private long outageEndNanos = Long.MIN_VALUE;
 
@@ -79,7 +82,7 @@
      */
     public boolean announce(Endpoint announced, long nowNanos) {
         Entry entry = entries.get(announced.id());
-        if (entry == null || announced.incarnation() > entry.endpoint.incarnation()) {
+        if (entry == null || supersedes(announced, entry, nowNanos)) {
             entries.put(announced.id(), new Entry(announced, nowNanos));
             return true;
         }
@@ -94,6 +97,16 @@
         return changed;
     }
 
+    /**
+     * Returns whether an announcement is of a later start than the known one, or continues an
+     * earlier start: an announcement with a wrong time of start must not shut out the endpoint.
+     */
+    private static boolean supersedes(Endpoint announced, Entry known, long nowNanos) {
+        return announced.incarnation() > known.endpoint.incarnation()
+                || (announced.incarnation() < known.endpoint.incarnation()
+                        && nowNanos - known.lastHeartbeatNanos > OVERRIDDEN_AFTER.toNanos());
+    }
+
     private static boolean differs(Endpoint a, Endpoint b) {
         return !a.layers().equals(b.layers())
                 || a.leaving() != b.leaving()
--- a/src/test/java/hyssopturn/fleet/RosterTest.java
+++ b/src/test/java/hyssopturn/fleet/RosterTest.java
@@ -236,4 +236,30 @@
             assertThat(roster.settled(SERVICE, PERIOD, at(5_000)), is(false));
         }
     }
+
+    @Nested
+    class OddAnnouncements {
+        /** A time of start in the far future shut out the endpoint of that id for good. */
+        @Test
+        void ofAStartInTheFutureDoNotShutOutTheEndpointForGood() {
+            roster.announce(endpoint(false, 1, 1), at(0));
+            roster.announce(endpoint(false, Long.MAX_VALUE, 1), at(100));
+            roster.announce(endpoint(false, 1, 2), at(1_000));
+            roster.announce(endpoint(false, 1, 3), at(2_000));
+            roster.announce(endpoint(false, 1, 4), at(3_000));
+            assertThat(usable(3_000).getFirst().incarnation(), is(Long.MAX_VALUE));
+            assertThat(roster.announce(endpoint(false, 1, 5), at(4_000)), is(true));
+            assertThat(usable(4_000).getFirst().incarnation(), is(1L));
+        }
+
+        @Test
+        void ofAnEarlierStartAreIgnoredWhileTheLaterOneAnnouncesItself() {
+            roster.announce(endpoint(false, 2, 1), at(0));
+            for (int second = 1; second < 8; second++) {
+                roster.announce(endpoint(false, 2, second), at(second * 1_000L));
+                assertThat(roster.announce(endpoint(false, 1, 9), at(second * 1_000L)), is(false));
+            }
+            assertThat(usable(7_000).getFirst().incarnation(), is(2L));
+        }
+    }
 }
