An endpoint whose latest entry is unreadable gets no new requests until it announces itself

An odd entry under the id of a known endpoint left the earlier announcement in force, at nodes that knew it, while nodes that started later did not know the endpoint. Now such an endpoint gets no new requests until its next readable announcement (about a second later); requests in progress go on, and its layers count as held for three seconds, so that one odd entry moves no layers.

--- a/src/main/java/hyssopturn/fleet/Roster.java
+++ b/src/main/java/hyssopturn/fleet/Roster.java
@@ -36,6 +36,9 @@
     /** Time under suspicion after which other endpoints should replace an endpoint. */
     public static final Duration LOST_AFTER = Duration.ofMillis(300);
 
+    /** Time without a readable announcement after which other endpoints should replace it. */
+    public static final Duration UNREADABLE_TOLERANCE = Duration.ofSeconds(3);
+
     /** Time without an announcement after which one of an earlier start is believed again. */
     public static final Duration OVERRIDDEN_AFTER = Duration.ofSeconds(3);
 
@@ -62,6 +65,7 @@
         private long lastHeartbeatNanos;
         private Optional<Suspicion> suspicion = Optional.empty();
         private Optional<Long> removedNanos = Optional.empty();
+        private Optional<Long> unreadableNanos = Optional.empty();
         private boolean leaving;
 
         Entry(Endpoint endpoint, long nowNanos) {
@@ -89,8 +93,12 @@
         if (announced.incarnation() < entry.endpoint.incarnation()) {
             return false;
         }
-        boolean changed = entry.removedNanos.isPresent() || differs(entry.endpoint, announced);
+        boolean changed =
+                entry.removedNanos.isPresent()
+                        || entry.unreadableNanos.isPresent()
+                        || differs(entry.endpoint, announced);
         entry.removedNanos = Optional.empty();
+        entry.unreadableNanos = Optional.empty();
         entry.endpoint = announced;
         entry.lastHeartbeatNanos = nowNanos;
         entry.leaving |= announced.leaving();
@@ -107,6 +115,20 @@
                         && nowNanos - known.lastHeartbeatNanos > OVERRIDDEN_AFTER.toNanos());
     }
 
+    /**
+     * Records that the latest announcement of an endpoint is unreadable. The endpoint gets no new
+     * requests until it announces itself again; requests in progress go on.
+     *
+     * @param id the endpoint
+     * @param nowNanos time now
+     */
+    public void markUnreadable(InstanceId id, long nowNanos) {
+        Entry entry = entries.get(id);
+        if (entry != null && entry.unreadableNanos.isEmpty()) {
+            entry.unreadableNanos = Optional.of(nowNanos);
+        }
+    }
+
     private static boolean differs(Endpoint a, Endpoint b) {
         return !a.layers().equals(b.layers())
                 || a.leaving() != b.leaving()
@@ -295,7 +317,7 @@
     }
 
     private boolean present(Entry entry, long nowNanos) {
-        if (entry.leaving || entry.endpoint.leaving()) {
+        if (entry.leaving || entry.endpoint.leaving() || entry.unreadableNanos.isPresent()) {
             return false;
         }
         return entry.removedNanos.isEmpty() || withinGrace(entry, nowNanos);
@@ -344,7 +366,11 @@
     }
 
     private static boolean stable(Entry entry, long nowNanos) {
-        return entry.removedNanos.isEmpty() && !entry.leaving && !lost(entry, nowNanos);
+        boolean readable =
+                entry.unreadableNanos
+                        .filter(since -> nowNanos - since > UNREADABLE_TOLERANCE.toNanos())
+                        .isEmpty();
+        return entry.removedNanos.isEmpty() && readable && !entry.leaving && !lost(entry, nowNanos);
     }
 
     /**
--- a/src/main/java/hyssopturn/node/RosterListener.java
+++ b/src/main/java/hyssopturn/node/RosterListener.java
@@ -87,6 +87,7 @@
             }
             return Optional.of(endpoint).filter(e -> changed && !e.leaving());
         } catch (IllegalArgumentException e) {
+            roster.markUnreadable(new InstanceId(entry.key()), now);
             trace.record(
                     new TraceEvent.Malformed(STREAM, entry.key(), entry.offset(), e.getMessage()));
             return Optional.empty();
--- a/src/test/java/hyssopturn/fleet/RosterTest.java
+++ b/src/test/java/hyssopturn/fleet/RosterTest.java
@@ -239,6 +239,19 @@
 
     @Nested
     class OddAnnouncements {
+        @Test
+        void thatAreUnreadableSuspendTheEndpointUntilTheNextReadableOne() {
+            roster.announce(endpoint(false, 1, 1), at(0));
+            roster.markUnreadable(ID, at(100));
+            assertThat(usable(200), empty());
+            assertThat(roster.leavingOrGone(endpoint(false, 1, 1), at(200)), is(false));
+            assertThat(roster.stable(SERVICE, at(200)), hasSize(1));
+            assertThat(roster.stable(SERVICE, at(3_200)), empty());
+            assertThat(roster.announce(endpoint(false, 1, 2), at(3_300)), is(true));
+            assertThat(usable(3_300), hasSize(1));
+            assertThat(roster.stable(SERVICE, at(3_300)), hasSize(1));
+        }
+
         /** A time of start in the far future shut out the endpoint of that id for good. */
         @Test
         void ofAStartInTheFutureDoNotShutOutTheEndpointForGood() {
