--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -98,6 +98,7 @@
                     new HttpClientOptions().setKeepAlive(false),
                     new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
     private final RoutingState knowledge = new RoutingState();
+    private final EngineLoad load = new EngineLoad(loadNoise(), 10);
     private final RetryBudget retryBudget =
             new RetryBudget(0.2, Duration.ofSeconds(10).toNanos(), 100, 1);
     private final List<String> requestIds = Collections.synchronizedList(new ArrayList<>());
@@ -136,7 +137,7 @@
                         clock,
                         new SplittableRandom(1),
                         retryBudget,
-                        new EngineLoad(loadNoise(), 10),
+                        load,
                         new InterZoneBudget(1),
                         (address, reference) ->
                                 CompletableFuture.completedFuture(
@@ -307,6 +308,13 @@
         done.join();
     }
 
+    /** Returns the tokens that requests in progress are counted with at the engines. */
+    double heldTokens() {
+        CompletableFuture<Double> tokens = new CompletableFuture<>();
+        onLoop(() -> tokens.complete(load.zoneTokens()));
+        return tokens.join();
+    }
+
     /** Uses up the retry budgets of both services. */
     void exhaustRetries() {
         onLoop(() -> List.of("writers", "records").forEach(this::exhaustRetries));
--- a/src/test/java/hyssopturn/platform/SilentEnginesTest.java
+++ b/src/test/java/hyssopturn/platform/SilentEnginesTest.java
@@ -31,7 +31,9 @@
 
     @AfterEach
     void close() {
+        double held = harness.heldTokens();
         harness.close();
+        assertThat("tokens held after the last answer", held, equalTo(0.0));
     }
 
     private static String events(int from, int to) {
