A stream that left a silent engine in vain returns to it

What callers saw: a stream closed midway, or 502 before its first event, though the engine that was silent would have gone on. It had been left for another chain, and that chain failed at once: its first engine refused the request or accepted no connection.

A chain that was found is not yet one that takes the request, and the sound attempt is cancelled before that is known. If the other chain then fails, the silent engine is still under suspicion (1.5 s or more), so no chain is found, and the request ends as if the silent engine had failed.

Now a stream that was moved on suspicion may, when there is no other chain, use engines under suspicion, also the one that it left. It needs an allowed retry, as before; new requests do not use suspected engines.

Evidence: SilentEnginesTest.WhenTheOtherEngineFails, all cases fail before (answer after event 0 cut off at about 0.8 s, 502 after 0.7 s) and pass now, beside the rest of the class and RelayFaultsTest. Not covered: the retry budget is used up when the other chain refuses, or the other engine closes each connection without an answer. Both need the old attempt to run until the new one has been accepted.

--- a/src/main/java/hyssopturn/fleet/Roster.java
+++ b/src/main/java/hyssopturn/fleet/Roster.java
@@ -353,6 +353,17 @@
                                 && (!suspected(e, nowNanos) || reportedOnly(e, nowNanos)));
     }
 
+    /**
+     * Lists the endpoints of a service that are not leaving, whether under suspicion or not.
+     *
+     * @param service name of the service
+     * @param nowNanos time now
+     * @return the endpoints, in no particular order
+     */
+    public List<Endpoint> usableOrSuspected(String service, long nowNanos) {
+        return list(e -> present(e, nowNanos) && e.endpoint.service().equals(service));
+    }
+
     /**
      * Lists the endpoints of a service that are expected to continue: they are listed, are not
      * leaving, and have not been under suspicion for long.
--- a/src/main/java/hyssopturn/relay/ChainFinder.java
+++ b/src/main/java/hyssopturn/relay/ChainFinder.java
@@ -62,6 +62,13 @@
                 : Optional.empty();
     }
 
+    /**
+     * Finds a chain for a request that would fail without one; it may include suspected engines.
+     */
+    Optional<EngineChain> findSuspected(Predicate<Endpoint> first, Set<InstanceId> excluded) {
+        return search(roster().usableOrSuspected(service, now()), first, excluded);
+    }
+
     /** Finds a chain of engines that have not refused a request recently. */
     Optional<EngineChain> findWithCapacity(Predicate<Endpoint> first, Set<InstanceId> excluded) {
         long now = now();
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -33,6 +33,7 @@
     private Optional<InstanceId> refusingEngine = Optional.empty();
     private EventFramer framer = new EventFramer();
     private int currentAttemptId;
+    private boolean moved;
 
     StreamCall(
             RelayContext context,
@@ -50,7 +51,7 @@
 
     @Override
     void startAttempt() {
-        Optional<EngineChain> found = findChain(excluded);
+        Optional<EngineChain> found = findChain(excluded).or(this::findLastResort);
         if (found.isEmpty() || !chainFinder.reserveZoneLinks(found.get().links())) {
             giveUp(lastFailureOr(found.isEmpty() ? "no chain" : "no chain within a zone"));
             return;
@@ -65,6 +66,14 @@
                 .or(() -> chainFinder.findAny(this::mayAttempt, unusable));
     }
 
+    /**
+     * Finds a chain for a request that was moved from a suspected engine and would end otherwise:
+     * the engine may only have been silent.
+     */
+    private Optional<EngineChain> findLastResort() {
+        return moved ? chainFinder.findSuspected(this::mayAttempt, excluded) : Optional.empty();
+    }
+
     private void startOn(EngineChain found) {
         chain = Optional.of(found);
         context.load().add(found, chainFinder.tokens());
@@ -290,6 +299,7 @@
     void moveTo(EngineChain other, String cause, Endpoint suspect) {
         Endpoint first = chain.orElseThrow().first().engine();
         currentAttemptId++;
+        moved = true;
         replaceAttempt(first, cause, Optional.of(suspect.id()));
         cancelUpstream();
         startOn(other);
--- a/src/test/java/hyssopturn/platform/SilentEnginesTest.java
+++ b/src/test/java/hyssopturn/platform/SilentEnginesTest.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.is;
 
 import hyssopturn.model.Address;
+import hyssopturn.model.LayerRange;
 
 import io.vertx.core.http.HttpServerRequest;
 
@@ -142,6 +143,63 @@
         }
     }
 
+    private static void refuse(HttpServerRequest request) {
+        if (!control(request)) {
+            RelayHarness.signed(request)
+                    .putHeader("Hyssopturn-Not-Executed", "1")
+                    .setStatusCode(503)
+                    .end();
+        }
+    }
+
+    /** The other engine appears once the silent one has the request. */
+    @Nested
+    class WhenTheOtherEngineFails {
+        /** Begins a new stream and is silent; finishes one that was begun. */
+        private void silentOnce(HttpServerRequest request, int eventsBefore) {
+            if (request.getHeader("Last-Event-Id") == null) {
+                pause(request, eventsBefore);
+            } else {
+                finish(request);
+            }
+        }
+
+        private RelayHarness.Answer call(int eventsBefore, Runnable startOther) {
+            harness.engine("e1", r -> silentOnce(r, eventsBefore));
+            var answer = CompletableFuture.supplyAsync(() -> harness.call("/write/x", Map.of()));
+            awaitRun();
+            startOther.run();
+            return answer.join();
+        }
+
+        private void awaitRun() {
+            while (runs.get() == 0) {
+                Thread.onSpinWait();
+            }
+        }
+
+        @Test
+        void continueAnAnswerThatTheOtherRefuses() {
+            assertWhole(call(1, () -> harness.engine("e2", SilentEnginesTest::refuse)));
+        }
+
+        @Test
+        void continueAnAnswerWhenTheOtherAcceptsNoConnections() {
+            Address closed = new Address("127.0.0.1", 1);
+            assertWhole(
+                    call(
+                            1,
+                            () ->
+                                    harness.announce(
+                                            "e2", closed, Optional.of(new LayerRange(0, 80)))));
+        }
+
+        @Test
+        void beginAnAnswerThatTheOtherRefuses() {
+            assertWhole(call(0, () -> harness.engine("e2", SilentEnginesTest::refuse)));
+        }
+    }
+
     @Nested
     class BehindTheFirstEngine {
         private Optional<HttpServerRequest> running = Optional.empty();
