Answers to requests from before a drain say that their connection ends

What callers saw: an answer that said nothing about its connection, which the node closed right after it. A caller that kept the connection sent its next request into the close and lost that attempt.

Cause: Connection: close was set when the head of a request arrived during the drain.

Now the header is set at the beginning of the drain for every call whose answer has not begun, and again when a request has been read whole.

DrainTest.answerOfARequestFromBeforeTheDrainSaysThatItsConnectionIsClosed before: Expected: <true> but: was <false>. Passes now, as do the rest of DrainTest, KeptConnectionTest and ContinuedStreamTest.

--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -338,6 +338,13 @@
         respond(status, cause, "in-doubt", MultiMap.caseInsensitiveMultiMap());
     }
 
+    /** Tells the caller that its connection ends with this answer, unless the answer has begun. */
+    final void announceClose() {
+        if (!response.headWritten()) {
+            response.putHeader("Connection", "close");
+        }
+    }
+
     /** Ends the request unless its answer has begun, which may still be completed. */
     final void giveUpBeforeExit() {
         if (!response.headWritten()) {
--- a/src/main/java/hyssopturn/relay/Relay.java
+++ b/src/main/java/hyssopturn/relay/Relay.java
@@ -66,6 +66,7 @@
      */
     public void drain() {
         drainStartNanos = Optional.of(context.clock().nanos());
+        calls.forEach(Call::announceClose);
     }
 
     /** Answers every request in progress whose answer has not begun, before the process exits. */
@@ -105,10 +106,14 @@
         long arrivedNanos = context.clock().nanos();
         running++;
         request.response().endHandler(v -> running--);
+        announceCloseIfDraining(request);
+        readBody(request, arrivedNanos);
+    }
+
+    private void announceCloseIfDraining(HttpServerRequest request) {
         if (drainStartNanos.isPresent()) {
             request.response().putHeader("Connection", "close");
         }
-        readBody(request, arrivedNanos);
     }
 
     private void readBody(HttpServerRequest request, long arrivedNanos) {
@@ -137,6 +142,7 @@
 
     /** Admits a request; an unexpected error ends this request alone, and with an answer. */
     private void admitOrFail(HttpServerRequest request, Buffer body, long arrivedNanos) {
+        announceCloseIfDraining(request);
         try {
             admit(request, body, arrivedNanos);
         } catch (RuntimeException e) {
--- a/src/test/java/hyssopturn/platform/DrainTest.java
+++ b/src/test/java/hyssopturn/platform/DrainTest.java
@@ -106,4 +106,16 @@
             assertThat(caller.read().status(), equalTo(BAD_GATEWAY));
         }
     }
+
+    @Test
+    void answerOfARequestFromBeforeTheDrainSaysThatItsConnectionIsClosed() throws IOException {
+        try (KeptConnection caller = new KeptConnection(platform.front())) {
+            caller.awaitServed("/look/x");
+            caller.send("/book/slow");
+            caller.pause(RECEIVE_MILLIS);
+            CompletableFuture<Void> drained = CompletableFuture.runAsync(platform::drain);
+            assertThat(caller.read().closes(), equalTo(true));
+            drained.join();
+        }
+    }
 }
