Failed attempts are logged with the parts of their prompts

The log couldn't tell engines that end by themselves from engines that a request ends: it didn't show what requests have in common. The header with a prompt's parts is now decoded once into typed fields (ids normalised, at most 32 parts of at most 64 characters, malformed entries left out), and AttemptFailed names those that other requests may share. No decision changes.

--- a/src/main/java/hyssopturn/platform/PlatformHeaders.java
+++ b/src/main/java/hyssopturn/platform/PlatformHeaders.java
@@ -3,6 +3,7 @@
 import hyssopturn.chain.EngineChain;
 import hyssopturn.helper.InvalidArgumentException;
 import hyssopturn.model.Address;
+import hyssopturn.model.PromptPart;
 import hyssopturn.relay.Attempt;
 import hyssopturn.relay.CallHeaders;
 import hyssopturn.relay.EndpointReply;
@@ -12,6 +13,9 @@
 import io.vertx.core.MultiMap;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
@@ -21,6 +25,7 @@
     private static final String ATTEMPT_ID = "Hyssopturn-Attempt-Id";
     private static final String DEADLINE = "Hyssopturn-Deadline-Ms";
     private static final String TOKEN_COUNTS = "Hyssopturn-Token-Counts";
+    private static final String PROMPT_PARTS = "Hyssopturn-Prompt-Prefix";
     private static final String EXPECTED_TOKENS = "Hyssopturn-Length-Hint";
     private static final String API_KEY = "X-Api-Key";
     private static final String ACCOUNT = "Hyssopturn-Tenant";
@@ -36,6 +41,12 @@
     /** Limit of decoded counts, so that sums and products of them do not overflow. */
     private static final long MAX_COUNT = 1_000_000_000;
 
+    /** Maximum number of decoded parts of a prompt. */
+    private static final int MAX_PARTS = 32;
+
+    /** Maximum length of the id of a decoded part, in characters. */
+    private static final int MAX_PART_ID_LENGTH = 64;
+
     @Override
     public CallHeaders decode(MultiMap headers) {
         String[] tokens = Optional.ofNullable(headers.get(TOKEN_COUNTS)).orElse("").split(",", -1);
@@ -46,9 +57,23 @@
                 count(tokens[0]).orElse(0),
                 tokens.length > 1 ? count(tokens[1]).orElse(0) : 0,
                 count(headers.get(EXPECTED_TOKENS)),
+                parts(String.join(",", headers.getAll(PROMPT_PARTS))),
                 number(headers.get(LAST_EVENT_ID)));
     }
 
+    /** Decodes the parts of a prompt; entries that have no id are left out. */
+    private static List<PromptPart> parts(String text) {
+        List<PromptPart> parts = new ArrayList<>();
+        for (String entry : text.split(",", MAX_PARTS + 1)) {
+            String[] fields = entry.split(":", -1);
+            String id = fields[0].strip().toLowerCase(Locale.ROOT);
+            if (parts.size() < MAX_PARTS && !id.isEmpty() && id.length() <= MAX_PART_ID_LENGTH) {
+                parts.add(new PromptPart(id, fields.length > 1 ? count(fields[1]).orElse(0) : 0));
+            }
+        }
+        return parts;
+    }
+
     /**
      * Decodes a number of milliseconds or tokens; values that no sound caller sends are limited.
      */
--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -276,7 +276,8 @@
                                 cause,
                                 fault.map(InstanceId::value).orElse(""),
                                 mayHaveRun,
-                                refusalCause.isEmpty() ? "retry" : refusalCause));
+                                refusalCause.isEmpty() ? "retry" : refusalCause,
+                                admitted.headers().sharedParts()));
 
         return refusalCause.isEmpty();
     }
--- a/src/main/java/hyssopturn/relay/CallHeaders.java
+++ b/src/main/java/hyssopturn/relay/CallHeaders.java
@@ -1,6 +1,9 @@
 package hyssopturn.relay;
 
+import hyssopturn.model.PromptPart;
+
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -14,6 +17,7 @@
  * @param answerTokens maximum number of tokens of the answer, 0 if not given
  * @param expectedTokens the caller's estimate of the number of tokens of the answer, empty if not
  *     given
+ * @param promptParts parts of the prompt in order, empty if not given
  * @param resumeAfter id of the last event that the caller has, empty for a new stream
  */
 public record CallHeaders(
@@ -23,4 +27,24 @@
         long promptTokens,
         long answerTokens,
         OptionalLong expectedTokens,
-        OptionalLong resumeAfter) {}
+        List<PromptPart> promptParts,
+        OptionalLong resumeAfter) {
+    /** Copies the list of parts. */
+    public CallHeaders {
+        promptParts = List.copyOf(promptParts);
+    }
+
+    /**
+     * Returns the ids of the parts that other requests may share; the last part is the request's or
+     * its session's own.
+     *
+     * @return the ids in order, each once
+     */
+    public List<String> sharedParts() {
+        return promptParts.stream()
+                .limit(Math.max(0, promptParts.size() - 1))
+                .map(PromptPart::id)
+                .distinct()
+                .toList();
+    }
+}
--- a/src/main/java/hyssopturn/trace/TraceEvent.java
+++ b/src/main/java/hyssopturn/trace/TraceEvent.java
@@ -144,6 +144,7 @@
      * @param mayHaveRun false if the endpoint's answer or the connection proves that the request
      *     did not run
      * @param next decision that followed
+     * @param parts ids of the prompt's parts that other requests may share, in order
      */
     record AttemptFailed(
             String request,
@@ -152,7 +153,8 @@
             String cause,
             String fault,
             boolean mayHaveRun,
-            String next)
+            String next,
+            List<String> parts)
             implements TraceEvent {}
 
     /**
