Parts of prompts that make engines crash are held back, at every node

Cause: a failed attempt was taken as news of the engine only. The request was sent to the next engine, its caller sent it again, and the next request with the part started anew; no bound counted by what requests have in common.

Change: the parts of requests that were lost with an engine before their answers had begun are evidence, once the engine is known to be gone (refuses connections, or its list entry is gone or anew). hyssopturn.quarantine decides without I/O; a request that begins clears its parts, and the nodes tell each other over the stream of fault reports, which they read anyway.

--- a/src/main/java/hyssopturn/fleet/Roster.java
+++ b/src/main/java/hyssopturn/fleet/Roster.java
@@ -232,6 +232,21 @@
         return entry.leaving || entry.endpoint.leaving() || gone;
     }
 
+    /**
+     * Returns whether a run of an endpoint has ended unannounced: the list does not hold the
+     * endpoint any more, or as started anew.
+     *
+     * @param endpoint the endpoint as it was used
+     * @return true if it is gone and had not announced that it was leaving
+     */
+    public boolean ended(Endpoint endpoint) {
+        Entry entry = entries.get(endpoint.id());
+        if (entry == null || entry.endpoint.incarnation() != endpoint.incarnation()) {
+            return !endpoint.leaving();
+        }
+        return entry.removedNanos.isPresent() && !entry.leaving;
+    }
+
     /**
      * Drops entries that were removed from the list and whose grace period is over.
      *
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -10,6 +10,8 @@
 import hyssopturn.platform.PlatformAdapter;
 import hyssopturn.platform.PlatformSettings;
 import hyssopturn.port.Duties;
+import hyssopturn.quarantine.PromptGuard;
+import hyssopturn.quarantine.PromptQuarantine;
 import hyssopturn.relay.LoopLag;
 import hyssopturn.relay.Relay;
 import hyssopturn.relay.RelayContext;
@@ -35,6 +37,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
 
 /** A node on the users' platform that relays requests of callers to endpoints on one event loop. */
 public final class RelayNode {
@@ -126,6 +129,9 @@
         FaultReporter faultReporter =
                 new FaultReporter(
                         adapter.log(), knowledge.roster(), clock, trace, platform.node(), random);
+        QuarantineReporter quarantineReporter =
+                new QuarantineReporter(adapter.log(), clock, trace, platform.node(), random);
+        PromptGuard prompts = promptGuard(random, quarantineReporter);
         relay =
                 new Relay(
                         new RelayContext(
@@ -140,20 +146,12 @@
                                 new ConnectProbe(vertx, PROBE_TIMEOUT),
                                 new LoopLag(),
                                 faultReporter,
+                                prompts,
                                 trace,
                                 meters,
                                 relaySettings(settings)),
                         adapter.engines());
-        config =
-                follower(
-                        adapter,
-                        adapter.configStream(),
-                        new KeyedFollower.Pacing(
-                                max(
-                                        platform.catchUpLimit().minus(LOST_READ_MARGIN),
-                                        MIN_READ_INTERVAL),
-                                Duration.ZERO),
-                        new CatalogListener(knowledge, adapter::catalog, clock, trace));
+        config = configFollower(adapter);
         endpoints =
                 follower(
                         adapter,
@@ -165,7 +163,7 @@
                         adapter,
                         FaultReport.STREAM,
                         new KeyedFollower.Pacing(FAULT_READ_WAIT, FAULT_READ_PAUSE),
-                        faultReporter);
+                        new FaultStreamListener(faultReporter, quarantineReporter, prompts));
         layers =
                 new LayerController(
                         knowledge::catalog,
@@ -182,6 +180,19 @@
         return a.compareTo(b) > 0 ? a : b;
     }
 
+    private PromptGuard promptGuard(RandomGenerator random, QuarantineReporter reporter) {
+        return new PromptGuard(new PromptQuarantine(random.nextDouble()), clock, trace, reporter);
+    }
+
+    private KeyedFollower configFollower(PlatformAdapter adapter) {
+        Duration wait = max(platform.catchUpLimit().minus(LOST_READ_MARGIN), MIN_READ_INTERVAL);
+        return follower(
+                adapter,
+                adapter.configStream(),
+                new KeyedFollower.Pacing(wait, Duration.ZERO),
+                new CatalogListener(knowledge, adapter::catalog, clock, trace));
+    }
+
     private KeyedFollower follower(
             PlatformAdapter adapter,
             String stream,
--- /dev/null
+++ b/src/main/java/hyssopturn/quarantine/package-info.java
@@ -0,0 +1,2 @@
+/** Quarantine of parts of prompts that make engines crash. */
+package hyssopturn.quarantine;
--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -282,6 +282,11 @@
         return refusalCause.isEmpty();
     }
 
+    /** Returns why a failed attempt must not be repeated, empty text if it may be. */
+    String repeatRefusal() {
+        return "";
+    }
+
     private String retryRefusal() {
         if (!repeatable()) {
             return "must run at most once";
@@ -292,6 +297,10 @@
         if (remaining().toMillis() <= 0) {
             return "no time left";
         }
+        String refusal = repeatRefusal();
+        if (!refusal.isEmpty()) {
+            return refusal;
+        }
         return context.retryBudget().tryAcquire(admitted.service(), answerState(), now())
                 ? ""
                 : "retry budget used up";
@@ -299,10 +308,12 @@
 
     /** Refuses a request that no endpoint may have run; the caller may retry it. */
     final void refuse(String cause) {
+        refuse(cause, context.settings().retryAfter());
+    }
+
+    private void refuse(String cause, Duration retryAfter) {
         MultiMap headers = MultiMap.caseInsensitiveMultiMap();
-        headers.set(
-                "Retry-After",
-                String.valueOf(context.settings().retryAfter().toMillis() / MILLIS_PER_SECOND));
+        headers.set("Retry-After", String.valueOf(retryAfter.toMillis() / MILLIS_PER_SECOND));
         respond(UNAVAILABLE, cause, "refused", headers);
     }
 
@@ -311,8 +322,13 @@
      * run, otherwise a gateway error, since the outcome is unknown.
      */
     final void giveUp(String cause) {
+        giveUp(cause, context.settings().retryAfter());
+    }
+
+    /** Ends a failed request, and names the time after which the caller may retry it. */
+    final void giveUp(String cause, Duration retryAfter) {
         if (!mayHaveRun) {
-            refuse(cause);
+            refuse(cause, retryAfter);
             return;
         }
         int status = remaining().toMillis() <= 0 ? GATEWAY_TIMEOUT : BAD_GATEWAY;
--- a/src/main/java/hyssopturn/relay/EndpointChecks.java
+++ b/src/main/java/hyssopturn/relay/EndpointChecks.java
@@ -76,6 +76,16 @@
         probe(endpoint, result -> handle(endpoint, result));
     }
 
+    /** Checks an endpoint whose connections were lost, and passes on what the check shows. */
+    void check(Endpoint endpoint, Consumer<Liveness> listener) {
+        probe(
+                endpoint,
+                result -> {
+                    handle(endpoint, result);
+                    listener.accept(result);
+                });
+    }
+
     /**
      * Checks an endpoint that did not answer a query; only a slow network of this node excuses it.
      */
--- a/src/main/java/hyssopturn/relay/RelayContext.java
+++ b/src/main/java/hyssopturn/relay/RelayContext.java
@@ -5,6 +5,7 @@
 import hyssopturn.fleet.Endpoint;
 import hyssopturn.port.Clock;
 import hyssopturn.port.LivenessProbe;
+import hyssopturn.quarantine.PromptGuard;
 import hyssopturn.trace.TraceLog;
 
 import io.micrometer.core.instrument.MeterRegistry;
@@ -29,6 +30,7 @@
  *     that an endpoint failed
  * @param faultReports receives engines that do not accept connections or that another engine waits
  *     for
+ * @param prompts parts of prompts that make engines crash
  * @param trace structured log
  * @param meters registry of counters and timers
  * @param settings settings of the request path
@@ -45,6 +47,7 @@
         LivenessProbe liveness,
         LoopLag loopLag,
         Consumer<Endpoint> faultReports,
+        PromptGuard prompts,
         TraceLog trace,
         MeterRegistry meters,
         RelaySettings settings) {}
--- a/src/main/java/hyssopturn/relay/StallDetector.java
+++ b/src/main/java/hyssopturn/relay/StallDetector.java
@@ -36,12 +36,14 @@
     private final EngineControl engines;
     private final Set<StreamCall> streams = new LinkedHashSet<>();
     private final EndpointChecks checks;
+    private final CrashWatch crashes;
     private long nextDepartingCheckNanos;
 
     StallDetector(RelayContext context, EngineControl engines) {
         this.context = context;
         this.engines = engines;
         checks = new EndpointChecks(context, this::handleUnreachable);
+        crashes = new CrashWatch(context, checks::check);
     }
 
     void start() {
@@ -52,6 +54,10 @@
         return checks;
     }
 
+    CrashWatch crashes() {
+        return crashes;
+    }
+
     void add(StreamCall stream) {
         streams.add(stream);
     }
@@ -67,6 +73,7 @@
         context.loopLag().tick(now, interval);
         if (context.loopLag().onTime(now)) {
             checks.checkReported();
+            crashes.tick(now);
             checkStreams(now);
         }
     }
@@ -127,6 +134,7 @@
         if (markSuspected(endpoint, Evidence.UNREACHABLE, waiting, "does not accept connections")) {
             context.faultReports().accept(endpoint);
         }
+        crashes.gone(endpoint);
     }
 
     private void queryStall(Endpoint first, List<StreamCall> waiting) {
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -13,6 +13,7 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerRequest;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -27,6 +28,15 @@
  * continues after the last event that the caller has, within the same answer.
  */
 final class StreamCall extends Call {
+    /**
+     * Number of deliveries after which an answer has begun; an engine that crashes as it begins to
+     * write may still have sent the first event.
+     */
+    private static final int DELIVERIES_OF_BEGUN = 2;
+
+    /** Number of attempts that may be lost with their engines before the answer has begun. */
+    private static final int MAX_LOST_BEGINNINGS = 2;
+
     private final ChainFinder chainFinder;
     private final StallDetector stallDetector;
     private final StreamProgress progress;
@@ -36,6 +46,9 @@
     private Optional<InstanceId> failedEngine = Optional.empty();
     private EventFramer framer = new EventFramer();
     private int currentAttemptId;
+    private int deliveries;
+    private int lostBeginnings;
+    private int lostAttemptId;
 
     StreamCall(
             RelayContext context,
@@ -52,6 +65,11 @@
 
     @Override
     void startAttempt() {
+        Optional<Duration> quarantine = context.prompts().check(sharedParts());
+        if (quarantine.isPresent()) {
+            giveUp("part of the prompt in quarantine", quarantine.get());
+            return;
+        }
         Optional<EngineChain> found =
                 chainFinder
                         .findWithCapacity(
@@ -64,6 +82,7 @@
         chain = found;
         context.load().add(found.get(), chainFinder.tokens());
         framer = new EventFramer();
+        deliveries = 0;
         wait.attemptStarted(now());
         int attemptId = ++currentAttemptId;
         Endpoint first = found.get().first().engine();
@@ -76,6 +95,30 @@
                         e -> unreachable(attemptId, first, e));
     }
 
+    private List<String> sharedParts() {
+        return admitted.headers().sharedParts();
+    }
+
+    /** Records that the attempt ended with its connection, perhaps since its engine crashed. */
+    private void recordLoss(Endpoint engine) {
+        if (deliveries < DELIVERIES_OF_BEGUN) {
+            lostBeginnings += lostAttemptId == currentAttemptId ? 0 : 1;
+            lostAttemptId = currentAttemptId;
+            stallDetector.crashes().lost(engine, sharedParts());
+        }
+    }
+
+    @Override
+    String repeatRefusal() {
+        if (deliveries >= DELIVERIES_OF_BEGUN || lostBeginnings == 0) {
+            return "";
+        }
+        if (lostBeginnings >= MAX_LOST_BEGINNINGS) {
+            return "lost at several engines";
+        }
+        return context.prompts().implicated(sharedParts()) ? "part of the prompt suspected" : "";
+    }
+
     private boolean stale(int attemptId) {
         return ended() || attemptId != currentAttemptId;
     }
@@ -94,6 +137,9 @@
      */
     private void noAnswer(int attemptId, Endpoint first) {
         avoidedFirst.add(first.id());
+        if (!stale(attemptId)) {
+            recordLoss(first);
+        }
         recover(attemptId, "connection failed");
     }
 
@@ -144,7 +190,7 @@
         }
         answer.handler(bytes -> handleBytes(attemptId, answer, bytes));
         answer.endHandler(v -> end(attemptId));
-        answer.exceptionHandler(e -> recover(attemptId, "stream cut off"));
+        answer.exceptionHandler(e -> cutOff(attemptId, "stream cut off"));
     }
 
     /** Passes on an error that the engine reports, unless the request can be retried. */
@@ -201,6 +247,10 @@
             return;
         }
         recordDelivery();
+        deliveries++;
+        if (deliveries == DELIVERIES_OF_BEGUN) {
+            context.prompts().begun(sharedParts());
+        }
         wait.delivered(now());
         writeHead(answer);
         response.write(ready);
@@ -224,14 +274,22 @@
             return;
         }
         if (framer.incomplete() || !response.headWritten()) {
-            recover(attemptId, "stream torn");
+            cutOff(attemptId, "stream torn");
             return;
         }
+        context.prompts().begun(sharedParts());
         finish("served", response.getStatusCode(), "");
         clearUpstream();
         response.end();
     }
 
+    private void cutOff(int attemptId, String cause) {
+        if (!stale(attemptId) && chain.isPresent()) {
+            recordLoss(chain.get().first().engine());
+        }
+        recover(attemptId, cause);
+    }
+
     private void recover(int attemptId, String cause) {
         if (!stale(attemptId)) {
             recover(cause);
@@ -245,6 +303,11 @@
     void replaceFailed(Endpoint engine, EngineControl engines) {
         excluded.add(engine.id());
         failedEngine = Optional.of(engine.id());
+        recordLoss(engine);
+        if (!repeatRefusal().isEmpty()) {
+            recover("engine stalled");
+            return;
+        }
         Optional<EngineChain> detour = findDetour(engine);
         if (detour.isEmpty() || !mayUseDetour(detour.get())) {
             recover("engine stalled");
--- a/src/main/java/hyssopturn/trace/EventCounters.java
+++ b/src/main/java/hyssopturn/trace/EventCounters.java
@@ -49,6 +49,9 @@
             case TraceEvent.ConfigInForce e -> labels("", "");
             case TraceEvent.Malformed e -> labels(e.stream(), "");
             case TraceEvent.Offered e -> labels(e.reach(), e.attempt() > 1 ? "again" : "first");
+            case TraceEvent.CrashEvidence e -> labels("", "");
+            case TraceEvent.PartQuarantined e -> labels("", "");
+            case TraceEvent.PartsCleared e -> labels("", "");
             case TraceEvent.Stalled e -> labels("", "");
             case TraceEvent.Dropped e -> labels("", "");
         };
--- a/src/main/java/hyssopturn/trace/TraceEvent.java
+++ b/src/main/java/hyssopturn/trace/TraceEvent.java
@@ -189,6 +189,37 @@
             long configAgeMillis)
             implements TraceEvent {}
 
+    /**
+     * An engine ended while requests of this node were about to begin there.
+     *
+     * @param engine the engine
+     * @param incarnation time of its start, in milliseconds since 1970
+     * @param requests for each request, ids of its suspected parts
+     */
+    record CrashEvidence(String engine, long incarnation, List<String> requests)
+            implements TraceEvent {}
+
+    /**
+     * A part of prompts is in quarantine, since engines ended when requests with it were to begin.
+     *
+     * @param part id of the part
+     * @param crashes number of crashes that it is blamed for
+     * @param durationMillis length of the quarantine, in milliseconds
+     * @param engine engine that ended last
+     * @param cause who saw that
+     */
+    record PartQuarantined(
+            String part, int crashes, long durationMillis, String engine, String cause)
+            implements TraceEvent {}
+
+    /**
+     * Requests began with parts that were suspected of crashes, so the parts are sound.
+     *
+     * @param parts ids of the parts
+     * @param cause who saw that
+     */
+    record PartsCleared(List<String> parts, String cause) implements TraceEvent {}
+
     /**
      * Streams whose chains begin at an engine made no progress.
      *
--- a/src/test/java/hyssopturn/ArchitectureTest.java
+++ b/src/test/java/hyssopturn/ArchitectureTest.java
@@ -23,7 +23,8 @@
         "hyssopturn.event..",
         "hyssopturn.catalog..",
         "hyssopturn.chain..",
-        "hyssopturn.fleet.."
+        "hyssopturn.fleet..",
+        "hyssopturn.quarantine.."
     };
 
     @ArchTest
--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -11,6 +11,8 @@
 import hyssopturn.model.LayerRange;
 import hyssopturn.port.Clock;
 import hyssopturn.port.Liveness;
+import hyssopturn.quarantine.PromptGuard;
+import hyssopturn.quarantine.PromptQuarantine;
 import hyssopturn.relay.Attempt;
 import hyssopturn.relay.CallHeaders;
 import hyssopturn.relay.EndpointReply;
@@ -129,6 +131,7 @@
                                         failedProbes.getOrDefault(address, Liveness.LISTENS)),
                         new LoopLag(),
                         endpoint -> {},
+                        new PromptGuard(new PromptQuarantine(0), clock, trace, report -> {}),
                         trace,
                         new SimpleMeterRegistry(),
                         new RelaySettings(
--- a/src/test/java/hyssopturn/relay/EndpointChecksTest.java
+++ b/src/test/java/hyssopturn/relay/EndpointChecksTest.java
@@ -15,6 +15,8 @@
 import hyssopturn.fleet.TestEndpoints;
 import hyssopturn.model.Address;
 import hyssopturn.port.Liveness;
+import hyssopturn.quarantine.PromptGuard;
+import hyssopturn.quarantine.PromptQuarantine;
 import hyssopturn.standin.VirtualClock;
 import hyssopturn.trace.TraceLog;
 
@@ -76,6 +78,7 @@
                 this::probe,
                 loopLag,
                 engine -> {},
+                new PromptGuard(new PromptQuarantine(0), clock, trace, report -> {}),
                 trace,
                 new SimpleMeterRegistry(),
                 new RelaySettings(ZONE, TICK, TICK, TICK, TICK, TICK, TICK));
