--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -297,7 +297,13 @@
                                 fault.map(InstanceId::value).orElse(""),
                                 mayHaveRun,
                                 suspected,
-                                next));
+                                next,
+                                admitted.headers().sharedParts()));
+    }
+
+    /** Returns why the request must not be sent to another endpoint, empty if it may be. */
+    Optional<String> repeatObstacle() {
+        return Optional.empty();
     }
 
     /** Returns what stands in the way of a retry, empty if the request may be retried now. */
@@ -311,6 +317,10 @@
         if (remaining().toMillis() <= 0) {
             return Optional.of("no time left");
         }
+        return repeatObstacle().or(this::budgetObstacle);
+    }
+
+    private Optional<String> budgetObstacle() {
         return context.retryBudget().allows(admitted.service(), answerState(), now())
                 ? Optional.empty()
                 : Optional.of("retry budget used up");
@@ -318,10 +328,12 @@
 
     /** Refuses a request that no endpoint may have run; the caller may retry it. */
     final void refuse(String cause) {
+        refuse(cause, context.settings().retryAfter());
+    }
+
+    private void refuse(String cause, Duration retryAfter) {
         MultiMap headers = MultiMap.caseInsensitiveMultiMap();
-        headers.set(
-                "Retry-After",
-                String.valueOf(context.settings().retryAfter().toMillis() / MILLIS_PER_SECOND));
+        headers.set("Retry-After", String.valueOf(retryAfter.toMillis() / MILLIS_PER_SECOND));
         respond(UNAVAILABLE, cause, "refused", headers);
     }
 
@@ -330,8 +342,13 @@
      * run, otherwise a gateway error, since the outcome is unknown.
      */
     final void giveUp(String cause) {
+        giveUp(cause, context.settings().retryAfter());
+    }
+
+    /** Ends a failed request, and names the time after which the caller may retry it. */
+    final void giveUp(String cause, Duration retryAfter) {
         if (!mayHaveRun) {
-            refuse(cause);
+            refuse(cause, retryAfter);
             return;
         }
         int status = remaining().toMillis() <= 0 ? GATEWAY_TIMEOUT : BAD_GATEWAY;
--- a/src/main/java/hyssopturn/relay/ChainMoves.java
+++ b/src/main/java/hyssopturn/relay/ChainMoves.java
@@ -49,7 +49,8 @@
     void replaceSuspected(Endpoint engine, EngineControl engines) {
         call.guarded(
                 () -> {
-                    Optional<EngineChain> detour = findDetour(engine).filter(this::mayUseDetour);
+                    call.recordLoss(engine);
+                    Optional<EngineChain> detour = usableDetour(engine);
                     if (detour.isPresent()) {
                         rerouteAround(engine, detour.get(), engines);
                     } else {
@@ -58,6 +59,12 @@
                 });
     }
 
+    private Optional<EngineChain> usableDetour(Endpoint engine) {
+        return call.repeatObstacle().isPresent()
+                ? Optional.empty()
+                : findDetour(engine).filter(this::mayUseDetour);
+    }
+
     /** Retries on another chain if one can be used, otherwise keeps the attempt in progress. */
     private void retryElsewhere(String cause, Endpoint suspect) {
         Optional<String> obstacle = call.retryObstacle();
--- a/src/main/java/hyssopturn/relay/StallDetector.java
+++ b/src/main/java/hyssopturn/relay/StallDetector.java
@@ -39,6 +39,7 @@
     private final EngineControl engines;
     private final Set<StreamCall> streams = new LinkedHashSet<>();
     private final EndpointChecks checks;
+    private final CrashWatch crashes;
     private long nextDepartingCheckNanos;
     private int repeatedSearches;
 
@@ -46,6 +47,7 @@
         this.context = context;
         this.engines = engines;
         checks = new EndpointChecks(context, this::handleUnreachable);
+        crashes = new CrashWatch(context, checks::check);
     }
 
     void start() {
@@ -56,6 +58,10 @@
         return checks;
     }
 
+    CrashWatch crashes() {
+        return crashes;
+    }
+
     void add(StreamCall stream) {
         streams.add(stream);
     }
@@ -76,6 +82,7 @@
                                         .record(new TraceEvent.LoopDelayed(late.toMillis())));
         if (context.loopLag().onTime(now)) {
             checks.checkReported();
+            crashes.tick(now);
             checkStreams(now);
         }
     }
@@ -146,6 +153,7 @@
         if (markSuspected(endpoint, Evidence.UNREACHABLE, waiting, "does not accept connections")) {
             context.faultReports().accept(endpoint);
         }
+        crashes.gone(endpoint);
     }
 
     private void queryStall(Endpoint first, List<StreamCall> waiting) {
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -11,7 +11,9 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerRequest;
 
+import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
@@ -23,6 +25,15 @@
  * continues after the last event that the caller has, within the same answer.
  */
 final class StreamCall extends Call {
+    /**
+     * Number of deliveries after which an answer has begun; an engine that crashes as it begins to
+     * write may still have sent the first event.
+     */
+    private static final int DELIVERIES_OF_BEGUN = 2;
+
+    /** Number of attempts that may be lost with their engines before the answer has begun. */
+    private static final int MAX_LOST_BEGINNINGS = 2;
+
     private final ChainFinder chainFinder;
     private final StallDetector stallDetector;
     private final StreamProgress progress;
@@ -34,6 +45,9 @@
     private EventFramer framer = new EventFramer();
     private int currentAttemptId;
     private boolean moved;
+    private int deliveries;
+    private int lostBeginnings;
+    private int lostAttemptId;
 
     StreamCall(
             RelayContext context,
@@ -51,6 +65,11 @@
 
     @Override
     void startAttempt() {
+        Optional<Duration> quarantine = context.prompts().check(sharedParts());
+        if (quarantine.isPresent()) {
+            giveUp("part of the prompt in quarantine", quarantine.get());
+            return;
+        }
         Optional<EngineChain> found = findChain(excluded).or(this::findLastResort);
         if (found.isEmpty() || !chainFinder.reserveZoneLinks(found.get().links())) {
             giveUp(lastFailureOr(found.isEmpty() ? "no chain" : "no chain within a zone"));
@@ -79,6 +98,7 @@
         context.load().add(found, chainFinder.tokens());
         framer = new EventFramer();
         progress.attemptStarted();
+        deliveries = 0;
         wait.attemptStarted(now());
         int attemptId = ++currentAttemptId;
         Endpoint first = found.first().engine();
@@ -91,6 +111,32 @@
                         e -> unreachable(attemptId, first, e));
     }
 
+    private List<String> sharedParts() {
+        return admitted.headers().sharedParts();
+    }
+
+    /** Records that the attempt ended with its connection, perhaps since its engine crashed. */
+    void recordLoss(Endpoint engine) {
+        if (deliveries < DELIVERIES_OF_BEGUN) {
+            lostBeginnings += lostAttemptId == currentAttemptId ? 0 : 1;
+            lostAttemptId = currentAttemptId;
+            stallDetector.crashes().lost(engine, sharedParts());
+        }
+    }
+
+    @Override
+    Optional<String> repeatObstacle() {
+        if (deliveries >= DELIVERIES_OF_BEGUN || lostBeginnings == 0) {
+            return Optional.empty();
+        }
+        if (lostBeginnings >= MAX_LOST_BEGINNINGS) {
+            return Optional.of("lost at several engines");
+        }
+        return context.prompts().implicated(sharedParts())
+                ? Optional.of("part of the prompt suspected")
+                : Optional.empty();
+    }
+
     /** Returns the number of the current attempt. */
     int attemptId() {
         return currentAttemptId;
@@ -120,6 +166,9 @@
      */
     private void noAnswer(int attemptId, Endpoint first) {
         avoidFirst(first);
+        if (!stale(attemptId)) {
+            recordLoss(first);
+        }
         recover(attemptId, "connection failed");
     }
 
@@ -174,7 +223,7 @@
         }
         answer.handler(bytes -> handleBytes(attemptId, answer, bytes));
         answer.endHandler(v -> end(attemptId));
-        answer.exceptionHandler(e -> recover(attemptId, "stream cut off"));
+        answer.exceptionHandler(e -> cutOff(attemptId, "stream cut off"));
     }
 
     private boolean sameContentType(HttpClientResponse answer) {
@@ -245,6 +294,10 @@
             return;
         }
         recordDelivery();
+        deliveries++;
+        if (deliveries == DELIVERIES_OF_BEGUN) {
+            context.prompts().begun(sharedParts());
+        }
         wait.delivered(now());
         writeHead(answer);
         response.write(ready);
@@ -268,14 +321,22 @@
             return;
         }
         if (framer.incomplete() || !progress.upToDate() || !response.headWritten()) {
-            recover(attemptId, "stream torn");
+            cutOff(attemptId, "stream torn");
             return;
         }
+        context.prompts().begun(sharedParts());
         finish("served", response.getStatusCode(), "");
         clearUpstream();
         response.end();
     }
 
+    private void cutOff(int attemptId, String cause) {
+        if (!stale(attemptId) && chain.isPresent()) {
+            recordLoss(chain.get().first().engine());
+        }
+        recover(attemptId, cause);
+    }
+
     /** Cancels a failed attempt and retries on another chain, or ends the request. */
     private void recover(int attemptId, String cause) {
         if (stale(attemptId)) {
