A plain request uses an endpoint that only other nodes suspect if there is no other

What callers saw: 503 for a request that a sound endpoint could have run, for up to a second after another node, perhaps with a bad link of its own, reported that endpoint.

Cause: a report excludes an endpoint until this node has checked it. Streams fall back to such endpoints (ChainFinder.findAny), plain requests did not.

RelayFaultsTest.aPlainRequestIsServedThoughOtherNodesReportTheLastEndpoint before: Expected: "found" but: was "". Passes now, as do the rest of RelayFaultsTest, RelayPathTest and SilentEnginesTest.PlainEndpoints.

--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -1,6 +1,7 @@
 package hyssopturn.relay;
 
 import hyssopturn.fleet.Endpoint;
+import hyssopturn.fleet.Roster;
 import hyssopturn.port.Clock;
 
 import io.vertx.core.buffer.Buffer;
@@ -10,6 +11,7 @@
 
 import java.time.Duration;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.stream.Stream;
@@ -61,18 +63,29 @@
                         r -> send(endpoint, earlierMayHaveRun, r), e -> unreachable(endpoint, e));
     }
 
-    /** Chooses the endpoint with the fewest requests of this node, preferably in its own zone. */
+    /**
+     * Chooses the endpoint with the fewest requests of this node, preferably in its own zone. If
+     * there is no other, it may be one that only other nodes suspect.
+     */
     private Optional<Endpoint> choose() {
-        return candidates()
-                .min(
-                        Comparator.comparingInt((Endpoint e) -> load.requestsAt(e.id()))
-                                .thenComparing(e -> !e.zone().equals(context.settings().zone()))
-                                .thenComparing(Endpoint::id));
+        Roster roster = context.routingState().roster();
+        return leastLoaded(candidates())
+                .or(() -> leastLoaded(allowed(roster.usableOrReported(admitted.service(), now()))));
+    }
+
+    private Optional<Endpoint> leastLoaded(Stream<Endpoint> endpoints) {
+        return endpoints.min(
+                Comparator.comparingInt((Endpoint e) -> load.requestsAt(e.id()))
+                        .thenComparing(e -> !e.zone().equals(context.settings().zone()))
+                        .thenComparing(Endpoint::id));
     }
 
     private Stream<Endpoint> candidates() {
-        return context.routingState().roster().usable(admitted.service(), now()).stream()
-                .filter(e -> !excluded.contains(e.id()) && mayAttempt(e));
+        return allowed(context.routingState().roster().usable(admitted.service(), now()));
+    }
+
+    private Stream<Endpoint> allowed(List<Endpoint> endpoints) {
+        return endpoints.stream().filter(e -> !excluded.contains(e.id()) && mayAttempt(e));
     }
 
     private void unreachable(Endpoint endpoint, Throwable error) {
--- a/src/test/java/hyssopturn/platform/RelayFaultsTest.java
+++ b/src/test/java/hyssopturn/platform/RelayFaultsTest.java
@@ -84,6 +84,14 @@
         assertThat(harness.call("/write/x", Map.of()).body(), equalTo(events(0, 2)));
     }
 
+    @Test
+    void aPlainRequestIsServedThoughOtherNodesReportTheLastEndpoint() {
+        harness.service("s1", r -> RelayHarness.signed(r).end("found"));
+        harness.call("/look/x", Map.of());
+        harness.report("s1");
+        assertThat(harness.call("/look/x", Map.of()).body(), equalTo("found"));
+    }
+
     @Test
     void aRunningStreamIsReroutedOffALeavingEngine() {
         harness.engine("e1", 0, 40, this::stallUnreported);
