An odd last key of a page no longer ends or garbles the listing of a stream

A list of more than one page (500 items; real at 600 endpoints) was read wrongly for good if one page ended with an odd key: the node never got the list, or got a part of it and took the endpoints of the other pages for removed. Cause: LogStoreClient.newest put the key into the query as it was, and took an empty last key for the end of the list. A page that listed nothing new was asked for again for ever, or ended the list early.

Values of queries are encoded now (Topic too). The list ends only where the store says so, and a page that announces more but lists no further key is a failed read, so that the node keeps what it knows and tries again.

--- a/src/main/java/hyssopturn/platform/LogStoreClient.java
+++ b/src/main/java/hyssopturn/platform/LogStoreClient.java
@@ -14,13 +14,16 @@
 import io.vertx.core.http.HttpMethod;
 
 import java.io.IOException;
+import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 /** HTTP client of the platform's log store. */
@@ -51,31 +54,54 @@
 
     @Override
     public CompletableFuture<Page> newest(String stream) {
-        return newest(stream, "", new ArrayList<>(), Long.MAX_VALUE);
+        return newest(stream, "", new Listing());
     }
 
     /**
      * Reads the remaining pages. The pages are no consistent snapshot, so the offset to read from
      * next is the end of the stream at the time of the first page.
      */
-    private CompletableFuture<Page> newest(
-            String stream, String after, List<Entry> entries, long end) {
-        String uri = "/v1/log-newest?Topic=" + TOPIC_PREFIX + stream + "&part=0";
-        return get(after.isEmpty() ? uri : uri + "&After=" + after, CALL_TIMEOUT)
+    private CompletableFuture<Page> newest(String stream, String after, Listing listing) {
+        return get("/v1/log-newest?" + partition(stream) + after, CALL_TIMEOUT)
                 .thenCompose(
-                        body -> {
-                            JsonNode page = json(body);
-                            String last = "";
-                            for (JsonNode item : page.path("Items")) {
-                                entries.add(entry(item));
-                                last = item.path("Key").asText();
-                            }
-                            long firstEnd = Math.min(end, JsonValue.integer(page, "End"));
-                            if (page.path("HasMore").asBoolean() && !last.isEmpty()) {
-                                return newest(stream, last, entries, firstEnd);
-                            }
-                            return CompletableFuture.completedFuture(new Page(entries, firstEnd));
-                        });
+                        body ->
+                                listing.add(json(body))
+                                        ? newest(stream, "&After=" + encoded(listing.last), listing)
+                                        : CompletableFuture.completedFuture(
+                                                new Page(listing.entries, listing.end)));
+    }
+
+    /** Pages of the newest records of a stream. */
+    private static final class Listing {
+        private final List<Entry> entries = new ArrayList<>();
+        private final Set<String> keys = new HashSet<>();
+        private String last = "";
+        private long end = Long.MAX_VALUE;
+
+        /** Adds a page; returns true if there are more. */
+        boolean add(JsonNode page) {
+            int known = keys.size();
+            for (JsonNode item : page.path("Items")) {
+                entries.add(entry(item));
+                last = item.path("Key").asText();
+                keys.add(last);
+            }
+            end = Math.min(end, JsonValue.integer(page, "End"));
+            boolean more = page.path("HasMore").asBoolean();
+            if (more && keys.size() == known) {
+                throw new FailedException("page of the log lists no further key");
+            }
+            return more;
+        }
+    }
+
+    private static String partition(String stream) {
+        return "Topic=" + encoded(TOPIC_PREFIX + stream) + "&part=0";
+    }
+
+    /** Encodes a value of a query; a space as %20, since a plus may be taken literally. */
+    private static String encoded(String value) {
+        return URLEncoder.encode(value, StandardCharsets.UTF_8).replace("+", "%20");
     }
 
     private static Entry entry(JsonNode item) {
@@ -96,7 +122,7 @@
                         .appendByte((byte) keyBytes.length)
                         .appendBytes(keyBytes)
                         .appendBytes(value.toArray());
-        String uri = "/v1/log-append?Topic=" + TOPIC_PREFIX + stream + "&part=0";
+        String uri = "/v1/log-append?" + partition(stream);
         return calls.call(HttpMethod.POST, address, uri, Map.of(), record, CALL_TIMEOUT)
                 .thenAccept(LogStoreClient::checked);
     }
@@ -104,7 +130,7 @@
     @Override
     public CompletableFuture<Page> read(String stream, long from, Duration wait) {
         String uri =
-                "/v1/log-read?Topic=%s%s&part=0&From=%d".formatted(TOPIC_PREFIX, stream, from)
+                "/v1/log-read?%s&From=%d".formatted(partition(stream), from)
                         + (wait.isZero() ? "" : "&WaitMs=" + wait.toMillis());
         return get(uri, wait.plus(CALL_TIMEOUT)).thenApply(body -> page(body, from));
     }
--- a/src/test/java/hyssopturn/platform/LogStoreClientTest.java
+++ b/src/test/java/hyssopturn/platform/LogStoreClientTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
@@ -23,11 +24,15 @@
 import io.vertx.core.VertxOptions;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -38,6 +43,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 
 class LogStoreClientTest {
     private static final String HOST = "127.0.0.1";
@@ -169,6 +175,69 @@
                     page.entries().stream().map(KeyedLog.Entry::key).toList(), contains("a", "b"));
             assertThat(page.next(), equalTo(7L));
         }
+
+        private void answerInPagesOfOne(List<String> keys) {
+            handler =
+                    r -> {
+                        String after = r.getParam("After");
+                        int i = after == null ? 0 : keys.indexOf(after) + 1;
+                        JsonObject body =
+                                new JsonObject()
+                                        .put("Items", new JsonArray().add(object(keys.get(i))))
+                                        .put("HasMore", i + 1 < keys.size())
+                                        .put("End", 7);
+                        r.response().end(body.toBuffer());
+                    };
+        }
+
+        private static JsonObject object(String key) {
+            return new JsonObject().put("Key", key).put("Value", "eA==").put("Offset", 1);
+        }
+
+        private List<String> keys() {
+            return store.newest("op").orTimeout(10, TimeUnit.SECONDS).join().entries().stream()
+                    .map(KeyedLog.Entry::key)
+                    .toList();
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "a b",
+                    "a&After=z",
+                    "a#b",
+                    "100%",
+                    "a+b",
+                    "%41",
+                    "a=b?c/d",
+                    "\u00fc\u20ac",
+                    "\ud83d\ude00",
+                    "a\r\nX-Y: z",
+                    "a\tb",
+                    "\"\\"
+                })
+        void pagesThatEndWithAnOddKeyAreFollowedByTheRest(String odd) {
+            answerInPagesOfOne(List.of("a", odd, "z"));
+            assertThat(keys(), contains("a", odd, "z"));
+        }
+
+        @Test
+        void aPageThatEndsWithAnEmptyKeyIsFollowedByTheRest() {
+            answerInPagesOfOne(List.of("", "z"));
+            assertThat(keys(), hasItem("z"));
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"[]", "[{\"Key\":\"a\",\"Value\":\"eA==\",\"Offset\":1}]"})
+        void pagesWithoutProgressFail(String items) {
+            handler =
+                    r -> {
+                        boolean more = requests.size() < 50;
+                        String body = "{\"Items\":%s,\"HasMore\":%s,\"End\":7}";
+                        r.response().end(body.formatted(items, more));
+                    };
+            assertThat(error(store.newest("op")), instanceOf(FailedException.class));
+        }
     }
 
     @Nested
