One odd item of a listed page is left out and the others are kept

One item whose value was no base64 failed the whole list: a node that started then knew no endpoint at all (or no configuration), and one that had lost its place in the stream followed it no further. Cause: LogStoreClient.newest decoded all items in one go. Items without a key, with a key that is no text, or with a value that is no text were taken over under made-up names ("", "7", "null").

Such an item is left out now, with a log line (one in 10 s), and the others are used. Its key still counts for the paging if it can be sent back. An answer whose Items are no list, or that has no End, is a failed read; before, Items of another kind were an empty list, and the node took all endpoints for removed.

--- a/src/main/java/hyssopturn/platform/LogStoreClient.java
+++ b/src/main/java/hyssopturn/platform/LogStoreClient.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.flogger.FluentLogger;
 
 import hyssopturn.model.Address;
 import hyssopturn.model.Bytes;
@@ -25,6 +26,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 /** HTTP client of the platform's log store. */
 final class LogStoreClient implements KeyedLog {
@@ -42,6 +44,8 @@
     private static final int UNAVAILABLE = 503;
     private static final int HEADER_BYTES = 16;
     private static final int LENGTH_BYTES = 4;
+    private static final int WARN_SECONDS = 10;
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final HttpCalls calls;
@@ -81,18 +85,44 @@
         /** Adds a page; returns true if there are more. */
         boolean add(JsonNode page) {
             int known = keys.size();
-            for (JsonNode item : page.path("Items")) {
-                entries.add(entry(item));
-                last = item.path("Key").asText();
-                keys.add(last);
+            for (JsonNode item : items(page)) {
+                add(item.path("Key"), item);
             }
-            end = Math.min(end, JsonValue.integer(page, "End"));
+            end = Math.min(end, end(page));
             boolean more = page.path("HasMore").asBoolean();
             if (more && keys.size() == known) {
                 throw new FailedException("page of the log lists no further key");
             }
             return more;
         }
+
+        private void add(JsonNode key, JsonNode item) {
+            if (key.isTextual() && encodable(key.asText())) {
+                last = key.asText();
+                keys.add(last);
+            }
+            try {
+                entries.add(entry(item));
+            } catch (IllegalArgumentException | JsonValue.MalformedException e) {
+                logLeftOut("item", e.getMessage());
+            }
+        }
+
+        private static JsonNode items(JsonNode page) {
+            JsonNode items = page.path("Items");
+            if (!items.isArray() && !items.isMissingNode() && !items.isNull()) {
+                throw new FailedException("log store answered without a list of items");
+            }
+            return items;
+        }
+
+        private static long end(JsonNode page) {
+            try {
+                return JsonValue.integer(page, "End");
+            } catch (JsonValue.MalformedException e) {
+                throw new FailedException("log store answered without an end: " + e.getMessage());
+            }
+        }
     }
 
     private static String partition(String stream) {
@@ -105,12 +135,32 @@
     }
 
     private static Entry entry(JsonNode item) {
+        String key = JsonValue.text(item, "Key");
+        if (!encodable(key)) {
+            throw new JsonValue.MalformedException("Key must be text");
+        }
         Optional<Bytes> value =
                 item.hasNonNull("Value")
-                        ? Optional.of(
-                                Bytes.wrap(Base64.getDecoder().decode(item.path("Value").asText())))
+                        ? Optional.of(value(item.path("Value")))
                         : Optional.empty();
-        return new Entry(item.path("Key").asText(), value, item.path("Offset").asLong());
+        return new Entry(key, value, JsonValue.integer(item, "Offset", 0));
+    }
+
+    private static Bytes value(JsonNode value) {
+        if (!value.isTextual()) {
+            throw new JsonValue.MalformedException("Value must be a string");
+        }
+        return Bytes.wrap(Base64.getDecoder().decode(value.asText()));
+    }
+
+    /** Returns false for text with half of a surrogate pair. */
+    private static boolean encodable(String text) {
+        return StandardCharsets.UTF_8.newEncoder().canEncode(text);
+    }
+
+    private static void logLeftOut(String part, String reason) {
+        logger.atWarning().atMostEvery(WARN_SECONDS, TimeUnit.SECONDS).log(
+                "log store sent a malformed %s, which is left out: %s", part, reason);
     }
 
     @Override
--- a/src/test/java/hyssopturn/platform/LogStoreClientTest.java
+++ b/src/test/java/hyssopturn/platform/LogStoreClientTest.java
@@ -238,6 +238,41 @@
                     };
             assertThat(error(store.newest("op")), instanceOf(FailedException.class));
         }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "{\"Key\":\"b\",\"Value\":\"%\",\"Offset\":1}",
+                    "{\"Key\":\"b\",\"Value\":\"eA=\",\"Offset\":1}",
+                    "{\"Key\":\"b\",\"Value\":7,\"Offset\":1}",
+                    "{\"Key\":\"b\",\"Value\":{\"x\":1},\"Offset\":1}",
+                    "{\"Key\":\" \",\"Value\":\"eA==\",\"Offset\":1}",
+                    "{\"Key\":\"\",\"Value\":\"eA==\",\"Offset\":1}",
+                    "{\"Key\":\"\\ud800\",\"Value\":\"eA==\",\"Offset\":1}",
+                    "{\"Key\":7,\"Value\":\"eA==\",\"Offset\":1}",
+                    "{\"Key\":null,\"Value\":\"eA==\",\"Offset\":1}",
+                    "{\"Value\":\"eA==\",\"Offset\":1}",
+                    "{\"Key\":\"b\",\"Value\":\"eA==\",\"Offset\":\"x\"}",
+                    "null",
+                    "7",
+                    "[]"
+                })
+        void oneOddItemIsLeftOutAndTheOthersAreKept(String odd) {
+            handler =
+                    r -> {
+                        String body = "{\"Items\":[%s,%s,%s],\"HasMore\":false,\"End\":7}";
+                        r.response().end(body.formatted(item("a", "x"), odd, item("c", "x")));
+                    };
+            assertThat(keys(), contains("a", "c"));
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {"{\"Items\":{},\"End\":7}", "{\"Items\":\"x\",\"End\":7}", "{}", ""})
+        void anAnswerThatIsNoListFails(String body) {
+            handler = r -> r.response().end(body);
+            assertThat(error(store.newest("op")), instanceOf(FailedException.class));
+        }
     }
 
     @Nested
