One broken record of a read page is left out and the others are kept

A record of length 0 made each read of its page fail, so a node read the same offset again for ever and followed the stream no further. Records shorter than the length of their key were taken over under a cut-off name, and those with an empty key or one that is no UTF-8 under made-up names. A length near 2^31 overflowed (position + size) and failed with an IndexOutOfBoundsException in place of the typed error; a first offset beyond the end of the stream moved the node's place there, past every later record.

A record whose bounds are known but which has no key to use is left out now, with a log line (one in 10 s), and counts as one offset. A page whose bounds are broken is a failed read and moves nothing: an impossible length, a page that ends inside a length, a first offset outside the stream.

Evidence, LogStoreClientTest.Read on the old code: oneBrokenRecordIsLeftOutAndTheOthersAreKept: 7 of 7 failed [1] FailedException: log record of 0 bytes is truncated; [2] to [7] Expected: ["e1", "e3"] but: item 1 was "", "e", "", "", " " and a replacement character ofARecordWithAnImpossibleLengthFails [1]: IndexOutOfBoundsException: - + 4 > 36 ofAPageWhoseFirstOffsetIsOutsideTheStreamFails: 3 of 3, nothing was thrown ofAPageThatEndsInsideALengthFails: nothing was thrown

--- a/src/main/java/hyssopturn/platform/LogStoreClient.java
+++ b/src/main/java/hyssopturn/platform/LogStoreClient.java
@@ -44,6 +44,10 @@
     private static final int UNAVAILABLE = 503;
     private static final int HEADER_BYTES = 16;
     private static final int LENGTH_BYTES = 4;
+
+    /** What bytes that are no UTF-8 are decoded to. */
+    private static final char REPLACEMENT = '\uFFFD';
+
     private static final int WARN_SECONDS = 10;
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -189,32 +193,53 @@
         if (body.length() < HEADER_BYTES) {
             throw new FailedException("log page is truncated to " + body.length() + " bytes");
         }
+        long first = body.getLong(Long.BYTES);
+        if (first < 0 || first > body.getLong(0)) {
+            throw new FailedException("log page has an impossible first offset: " + first);
+        }
         List<Entry> entries = new ArrayList<>();
-        long offset = Math.max(from, body.getLong(Long.BYTES));
+        long offset = Math.max(from, first);
         int position = HEADER_BYTES;
-        while (position + LENGTH_BYTES <= body.length()) {
-            int size = body.getInt(position);
+        while (position < body.length()) {
+            int size = recordSize(body, position);
             position += LENGTH_BYTES;
-            if (size < 1 || position + size > body.length()) {
-                throw new FailedException("log record of " + size + " bytes is truncated");
-            }
-            entries.add(record(body, position, size, offset++));
+            record(body, position, size, offset++).ifPresent(entries::add);
             position += size;
         }
         return new Page(entries, offset);
     }
 
-    private static Entry record(Buffer body, int start, int size, long offset) {
-        int keySize = Math.min(body.getUnsignedByte(start), size - 1);
+    private static int recordSize(Buffer body, int position) {
+        int available = body.length() - position - LENGTH_BYTES;
+        if (available < 0) {
+            throw new FailedException("log page ends inside the length of a record");
+        }
+        int size = body.getInt(position);
+        if (size < 0 || size > available) {
+            throw new FailedException("log record of " + size + " bytes is truncated");
+        }
+        return size;
+    }
+
+    /** Returns the record at a position, or nothing if it has no key that can be a name. */
+    private static Optional<Entry> record(Buffer body, int start, int size, long offset) {
+        int keySize = size == 0 ? 0 : body.getUnsignedByte(start);
+        if (keySize == 0 || keySize >= size) {
+            logLeftOut("record", "%d bytes at offset %d".formatted(size, offset));
+            return Optional.empty();
+        }
         int valueStart = start + 1 + keySize;
         String key = body.getString(start + 1, valueStart, StandardCharsets.UTF_8.name());
+        if (key.isBlank() || key.indexOf(REPLACEMENT) >= 0) {
+            logLeftOut("record", "its key is no name, offset " + offset);
+            return Optional.empty();
+        }
         int end = start + size;
-        return new Entry(
-                key,
+        Optional<Bytes> value =
                 valueStart < end
                         ? Optional.of(Bytes.wrap(body.getBytes(valueStart, end)))
-                        : Optional.empty(),
-                offset);
+                        : Optional.empty();
+        return Optional.of(new Entry(key, value, offset));
     }
 
     /** Posts a JSON message and returns the JSON answer. */
--- a/src/test/java/hyssopturn/platform/LogStoreClientTest.java
+++ b/src/test/java/hyssopturn/platform/LogStoreClientTest.java
@@ -39,6 +39,7 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.Collections;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
@@ -149,6 +150,61 @@
                                                     .appendString("short"));
             assertThat(error(read()), instanceOf(FailedException.class));
         }
+
+        @ParameterizedTest
+        @ValueSource(ints = {Integer.MAX_VALUE, Integer.MAX_VALUE - 30, Integer.MIN_VALUE, -1})
+        void ofARecordWithAnImpossibleLengthFails(int size) {
+            Buffer page =
+                    Buffer.buffer()
+                            .appendLong(43)
+                            .appendLong(5)
+                            .appendBuffer(record("e1", "v"))
+                            .appendInt(size)
+                            .appendBuffer(record("e2", "v"));
+            handler = r -> r.response().end(page);
+            assertThat(error(read()), instanceOf(FailedException.class));
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"", "09", "0965", "00", "0076", "012076", "02c32876"})
+        void oneBrokenRecordIsLeftOutAndTheOthersAreKept(String broken) {
+            byte[] bytes = HexFormat.of().parseHex(broken);
+            Buffer page =
+                    Buffer.buffer()
+                            .appendLong(43)
+                            .appendLong(5)
+                            .appendBuffer(record("e1", "v"))
+                            .appendInt(bytes.length)
+                            .appendBytes(bytes)
+                            .appendBuffer(record("e3", "v"));
+            handler = r -> r.response().end(page);
+            KeyedLog.Page records = read().join();
+            assertThat(
+                    records.entries().stream().map(KeyedLog.Entry::key).toList(),
+                    contains("e1", "e3"));
+            assertThat(records.entries().getLast().offset(), equalTo(42L));
+            assertThat(records.next(), equalTo(43L));
+        }
+
+        @Test
+        void ofAPageThatEndsInsideALengthFails() {
+            handler =
+                    r ->
+                            r.response()
+                                    .end(
+                                            Buffer.buffer()
+                                                    .appendLong(43)
+                                                    .appendLong(5)
+                                                    .appendByte((byte) 0));
+            assertThat(error(read()), instanceOf(FailedException.class));
+        }
+
+        @ParameterizedTest
+        @ValueSource(longs = {Long.MAX_VALUE, 44, -1})
+        void ofAPageWhoseFirstOffsetIsOutsideTheStreamFails(long first) {
+            handler = r -> r.response().end(Buffer.buffer().appendLong(43).appendLong(first));
+            assertThat(error(read()), instanceOf(FailedException.class));
+        }
     }
 
     @Nested
