One odd item of an engine's report is left out and the others are kept

One odd item made a report of stalled requests useless as a whole, and its engine counted as unresponsive. Cause: HttpEngineControl.stalled decoded all items in one go; an address that cannot be parsed even failed with an exception that is no typed error.

Such an item is left out now, with a log line (one in 10 s), and the others are used.

--- a/src/main/java/hyssopturn/platform/HttpEngineControl.java
+++ b/src/main/java/hyssopturn/platform/HttpEngineControl.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.flogger.FluentLogger;
 
 import hyssopturn.model.Address;
 import hyssopturn.model.InstanceId;
@@ -19,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
 /** Reads reports of model workers and sends them orders, over HTTP. */
@@ -30,6 +32,8 @@
     private static final int OK = 200;
     private static final int ACCEPTED = 202;
     private static final int FENCED = 412;
+    private static final int WARN_SECONDS = 10;
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final HttpCalls calls;
@@ -57,15 +61,25 @@
         try {
             Map<String, Address> waitsFor = new HashMap<>();
             for (JsonNode item : JSON.readTree(answer.body().getBytes()).path("Stalled")) {
-                waitsFor.put(
-                        JsonValue.text(item, "Id"), Address.parse(JsonValue.text(item, "Address")));
+                add(item, waitsFor);
             }
             return waitsFor;
-        } catch (IOException | JsonValue.MalformedException e) {
+        } catch (IOException e) {
             throw new FailedException("engine report cannot be decoded: " + e.getMessage());
         }
     }
 
+    private static void add(JsonNode item, Map<String, Address> waitsFor) {
+        try {
+            Address address = Address.parse(JsonValue.text(item, "Address"));
+            waitsFor.put(JsonValue.text(item, "Id"), address);
+        } catch (IllegalArgumentException | JsonValue.MalformedException e) {
+            logger.atWarning().atMostEvery(WARN_SECONDS, TimeUnit.SECONDS).log(
+                    "engine report has a malformed item, which is left out: %.500s",
+                    e.getMessage());
+        }
+    }
+
     @Override
     public CompletableFuture<Boolean> reroute(
             Address engine, InstanceId id, String request, List<Hop> hops) {
