A signal while the settings file is half-written is logged and changes nothing

On SIGHUP the node read its settings file in the thread of the signal, and a file that was missing, half-written or no text ended that thread with an exception: the signal left no line in the node's log. The settings in force stayed (they are only compared), and as far as the code shows the process went on; that was not played with a real signal.

The comparison has a class of its own, SettingsReload; a file that cannot be read is logged, and the settings in force stay.

--- a/src/main/java/hyssopturn/cli/RouterCommand.java
+++ b/src/main/java/hyssopturn/cli/RouterCommand.java
@@ -56,7 +56,8 @@
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime()
                 .addShutdownHook(Thread.ofPlatform().unstarted(() -> stop(node, platform)));
-        HangUp.handle(() -> node.reloaded(!PlatformSettings.read(file).equals(platform)));
+        HangUp.handle(
+                new SettingsReload(platform, () -> PlatformSettings.read(file), node::reloaded));
         node.start();
         stopped.await();
         return ExitCodes.OK;
