--- a/src/main/java/hyssopturn/fleet/FaultReport.java
+++ b/src/main/java/hyssopturn/fleet/FaultReport.java
@@ -49,13 +49,12 @@
     public static FaultReport decode(String endpoint, Bytes value) {
         try {
             JsonNode form = JSON.readTree(value.toArray());
-            if (!form.path("incarnation").isIntegralNumber()) {
+            JsonNode incarnation = form.path("incarnation");
+            if (!incarnation.isIntegralNumber() || !incarnation.canConvertToLong()) {
                 throw new InvalidArgumentException("report has no incarnation");
             }
             return new FaultReport(
-                    new InstanceId(endpoint),
-                    form.path("incarnation").asLong(),
-                    form.path("reporter").asText());
+                    new InstanceId(endpoint), incarnation.asLong(), form.path("reporter").asText());
         } catch (IOException e) {
             throw new InvalidArgumentException("report is not JSON: " + e.getMessage());
         }
--- a/src/test/java/hyssopturn/fleet/FaultReportTest.java
+++ b/src/test/java/hyssopturn/fleet/FaultReportTest.java
@@ -9,6 +9,8 @@
 import hyssopturn.model.InstanceId;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class FaultReportTest {
     @Test
@@ -24,4 +26,15 @@
         assertThrows(
                 InvalidArgumentException.class, () -> FaultReport.decode("e1", Bytes.utf8("x")));
     }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"18446744073709551633", "-18446744073709551599", "1e30"})
+    void doesNotNameAnotherIncarnationIfTheNumberIsTooLarge(String incarnation) {
+        assertRejected("{\"incarnation\":%s,\"reporter\":\"n1\"}".formatted(incarnation));
+    }
+
+    private static void assertRejected(String report) {
+        assertThrows(
+                InvalidArgumentException.class, () -> FaultReport.decode("e1", Bytes.utf8(report)));
+    }
 }
