A fault report with a very long name of its reporter is rejected

The reporter of a fault report goes into the log line of the endpoint's change, at any length that the store takes. More than 255 characters are malformed now.

Evidence, FaultReportTest.withAVeryLongReporterIsRejected (200,000 characters) on the old code: Expected InvalidArgumentException to be thrown, but nothing was thrown.

--- a/src/main/java/hyssopturn/fleet/FaultReport.java
+++ b/src/main/java/hyssopturn/fleet/FaultReport.java
@@ -21,6 +21,7 @@
     /** Log stream that holds the reports. */
     public static final String STREAM = "hyssopturn-faults";
 
+    private static final int MAX_NAME_LENGTH = 255;
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private record Form(long incarnation, String reporter) {}
@@ -53,8 +54,11 @@
             if (!incarnation.isIntegralNumber() || !incarnation.canConvertToLong()) {
                 throw new InvalidArgumentException("report has no incarnation");
             }
-            return new FaultReport(
-                    new InstanceId(endpoint), incarnation.asLong(), form.path("reporter").asText());
+            String reporter = form.path("reporter").asText();
+            if (reporter.length() > MAX_NAME_LENGTH) {
+                throw new InvalidArgumentException("reporter is too long");
+            }
+            return new FaultReport(new InstanceId(endpoint), incarnation.asLong(), reporter);
         } catch (IOException e) {
             throw new InvalidArgumentException("report is not JSON: " + e.getMessage());
         }
--- a/src/test/java/hyssopturn/fleet/FaultReportTest.java
+++ b/src/test/java/hyssopturn/fleet/FaultReportTest.java
@@ -33,6 +33,11 @@
         assertRejected("{\"incarnation\":%s,\"reporter\":\"n1\"}".formatted(incarnation));
     }
 
+    @Test
+    void withAVeryLongReporterIsRejected() {
+        assertRejected("{\"incarnation\":17,\"reporter\":\"%s\"}".formatted("n".repeat(200_000)));
+    }
+
     private static void assertRejected(String report) {
         assertThrows(
                 InvalidArgumentException.class, () -> FaultReport.decode("e1", Bytes.utf8(report)));
