Tests: answers of the log store that are nested deeply are failed calls

Lists of newest records and answers to members of the group, with 100,000 levels: the parser refuses them. These tests passed on the code before; they guard against a change of its limits.

--- a/src/test/java/hyssopturn/platform/LogStoreClientTest.java
+++ b/src/test/java/hyssopturn/platform/LogStoreClientTest.java
@@ -329,6 +329,12 @@
             handler = r -> r.response().end(body);
             assertThat(error(store.newest("op")), instanceOf(FailedException.class));
         }
+
+        @Test
+        void anAnswerThatIsNestedDeeplyFails() {
+            handler = r -> r.response().end("{\"Items\":" + "[".repeat(100_000));
+            assertThat(error(store.newest("op")), instanceOf(FailedException.class));
+        }
     }
 
     @Nested
@@ -372,5 +378,13 @@
             assertThat(assignment.share(), equalTo(1.0 / 128));
             assertThat(requests.getFirst(), containsString("log-join"));
         }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"[", "{\"Generation\":"})
+        void anAnswerThatIsNestedDeeplyFails(String open) {
+            handler = r -> r.response().end(open.repeat(100_000));
+            CompletableFuture<?> call = new GroupDuties(store, "n1", 8).join(Duration.ofSeconds(3));
+            assertThat(error(call), instanceOf(FailedException.class));
+        }
     }
 }
