--- a/src/main/java/hyssopturn/platform/LogStoreClient.java
+++ b/src/main/java/hyssopturn/platform/LogStoreClient.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.flogger.FluentLogger;
 
 import hyssopturn.model.Address;
 import hyssopturn.model.Bytes;
@@ -14,14 +15,18 @@
 import io.vertx.core.http.HttpMethod;
 
 import java.io.IOException;
+import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 /** HTTP client of the platform's log store. */
 final class LogStoreClient implements KeyedLog {
@@ -39,6 +44,12 @@
     private static final int UNAVAILABLE = 503;
     private static final int HEADER_BYTES = 16;
     private static final int LENGTH_BYTES = 4;
+
+    /** What bytes that are no UTF-8 are decoded to. */
+    private static final char REPLACEMENT = '\uFFFD';
+
+    private static final int WARN_SECONDS = 10;
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final HttpCalls calls;
@@ -51,40 +62,109 @@
 
     @Override
     public CompletableFuture<Page> newest(String stream) {
-        return newest(stream, "", new ArrayList<>(), Long.MAX_VALUE);
+        return newest(stream, "", new Listing());
     }
 
     /**
      * Reads the remaining pages. The pages are no consistent snapshot, so the offset to read from
      * next is the end of the stream at the time of the first page.
      */
-    private CompletableFuture<Page> newest(
-            String stream, String after, List<Entry> entries, long end) {
-        String uri = "/v1/log-newest?Topic=" + TOPIC_PREFIX + stream + "&part=0";
-        return get(after.isEmpty() ? uri : uri + "&After=" + after, CALL_TIMEOUT)
+    private CompletableFuture<Page> newest(String stream, String after, Listing listing) {
+        return get("/v1/log-newest?" + partition(stream) + after, CALL_TIMEOUT)
                 .thenCompose(
-                        body -> {
-                            JsonNode page = json(body);
-                            String last = "";
-                            for (JsonNode item : page.path("Items")) {
-                                entries.add(entry(item));
-                                last = item.path("Key").asText();
-                            }
-                            long firstEnd = Math.min(end, JsonValue.integer(page, "End"));
-                            if (page.path("HasMore").asBoolean() && !last.isEmpty()) {
-                                return newest(stream, last, entries, firstEnd);
-                            }
-                            return CompletableFuture.completedFuture(new Page(entries, firstEnd));
-                        });
+                        body ->
+                                listing.add(json(body))
+                                        ? newest(stream, "&After=" + encoded(listing.last), listing)
+                                        : CompletableFuture.completedFuture(
+                                                new Page(listing.entries, listing.end)));
+    }
+
+    /** Pages of the newest records of a stream. */
+    private static final class Listing {
+        private final List<Entry> entries = new ArrayList<>();
+        private final Set<String> keys = new HashSet<>();
+        private String last = "";
+        private long end = Long.MAX_VALUE;
+
+        /** Adds a page; returns true if there are more. */
+        boolean add(JsonNode page) {
+            int known = keys.size();
+            for (JsonNode item : items(page)) {
+                add(item.path("Key"), item);
+            }
+            end = Math.min(end, end(page));
+            boolean more = page.path("HasMore").asBoolean();
+            if (more && keys.size() == known) {
+                throw new FailedException("page of the log lists no further key");
+            }
+            return more;
+        }
+
+        private void add(JsonNode key, JsonNode item) {
+            if (key.isTextual() && encodable(key.asText())) {
+                last = key.asText();
+                keys.add(last);
+            }
+            try {
+                entries.add(entry(item));
+            } catch (IllegalArgumentException | JsonValue.MalformedException e) {
+                logLeftOut("item", e.getMessage());
+            }
+        }
+
+        private static JsonNode items(JsonNode page) {
+            JsonNode items = page.path("Items");
+            if (!items.isArray() && !items.isMissingNode() && !items.isNull()) {
+                throw new FailedException("log store answered without a list of items");
+            }
+            return items;
+        }
+
+        private static long end(JsonNode page) {
+            try {
+                return JsonValue.integer(page, "End");
+            } catch (JsonValue.MalformedException e) {
+                throw new FailedException("log store answered without an end: " + e.getMessage());
+            }
+        }
+    }
+
+    private static String partition(String stream) {
+        return "Topic=" + encoded(TOPIC_PREFIX + stream) + "&part=0";
+    }
+
+    /** Encodes a value of a query; a space as %20, since a plus may be taken literally. */
+    private static String encoded(String value) {
+        return URLEncoder.encode(value, StandardCharsets.UTF_8).replace("+", "%20");
     }
 
     private static Entry entry(JsonNode item) {
+        String key = JsonValue.text(item, "Key");
+        if (!encodable(key)) {
+            throw new JsonValue.MalformedException("Key must be text");
+        }
         Optional<Bytes> value =
                 item.hasNonNull("Value")
-                        ? Optional.of(
-                                Bytes.wrap(Base64.getDecoder().decode(item.path("Value").asText())))
+                        ? Optional.of(value(item.path("Value")))
                         : Optional.empty();
-        return new Entry(item.path("Key").asText(), value, item.path("Offset").asLong());
+        return new Entry(key, value, JsonValue.integer(item, "Offset", 0));
+    }
+
+    private static Bytes value(JsonNode value) {
+        if (!value.isTextual()) {
+            throw new JsonValue.MalformedException("Value must be a string");
+        }
+        return Bytes.wrap(Base64.getDecoder().decode(value.asText()));
+    }
+
+    /** Returns false for text with half of a surrogate pair. */
+    private static boolean encodable(String text) {
+        return StandardCharsets.UTF_8.newEncoder().canEncode(text);
+    }
+
+    private static void logLeftOut(String part, String reason) {
+        logger.atWarning().atMostEvery(WARN_SECONDS, TimeUnit.SECONDS).log(
+                "log store sent a malformed %s, which is left out: %s", part, reason);
     }
 
     @Override
@@ -96,7 +176,7 @@
                         .appendByte((byte) keyBytes.length)
                         .appendBytes(keyBytes)
                         .appendBytes(value.toArray());
-        String uri = "/v1/log-append?Topic=" + TOPIC_PREFIX + stream + "&part=0";
+        String uri = "/v1/log-append?" + partition(stream);
         return calls.call(HttpMethod.POST, address, uri, Map.of(), record, CALL_TIMEOUT)
                 .thenAccept(LogStoreClient::checked);
     }
@@ -104,7 +184,7 @@
     @Override
     public CompletableFuture<Page> read(String stream, long from, Duration wait) {
         String uri =
-                "/v1/log-read?Topic=%s%s&part=0&From=%d".formatted(TOPIC_PREFIX, stream, from)
+                "/v1/log-read?%s&From=%d".formatted(partition(stream), from)
                         + (wait.isZero() ? "" : "&WaitMs=" + wait.toMillis());
         return get(uri, wait.plus(CALL_TIMEOUT)).thenApply(body -> page(body, from));
     }
@@ -113,32 +193,53 @@
         if (body.length() < HEADER_BYTES) {
             throw new FailedException("log page is truncated to " + body.length() + " bytes");
         }
+        long first = body.getLong(Long.BYTES);
+        if (first < 0 || first > body.getLong(0)) {
+            throw new FailedException("log page has an impossible first offset: " + first);
+        }
         List<Entry> entries = new ArrayList<>();
-        long offset = Math.max(from, body.getLong(Long.BYTES));
+        long offset = Math.max(from, first);
         int position = HEADER_BYTES;
-        while (position + LENGTH_BYTES <= body.length()) {
-            int size = body.getInt(position);
+        while (position < body.length()) {
+            int size = recordSize(body, position);
             position += LENGTH_BYTES;
-            if (size < 1 || position + size > body.length()) {
-                throw new FailedException("log record of " + size + " bytes is truncated");
-            }
-            entries.add(record(body, position, size, offset++));
+            record(body, position, size, offset++).ifPresent(entries::add);
             position += size;
         }
         return new Page(entries, offset);
     }
 
-    private static Entry record(Buffer body, int start, int size, long offset) {
-        int keySize = Math.min(body.getUnsignedByte(start), size - 1);
+    private static int recordSize(Buffer body, int position) {
+        int available = body.length() - position - LENGTH_BYTES;
+        if (available < 0) {
+            throw new FailedException("log page ends inside the length of a record");
+        }
+        int size = body.getInt(position);
+        if (size < 0 || size > available) {
+            throw new FailedException("log record of " + size + " bytes is truncated");
+        }
+        return size;
+    }
+
+    /** Returns the record at a position, or nothing if it has no key that can be a name. */
+    private static Optional<Entry> record(Buffer body, int start, int size, long offset) {
+        int keySize = size == 0 ? 0 : body.getUnsignedByte(start);
+        if (keySize == 0 || keySize >= size) {
+            logLeftOut("record", "%d bytes at offset %d".formatted(size, offset));
+            return Optional.empty();
+        }
         int valueStart = start + 1 + keySize;
         String key = body.getString(start + 1, valueStart, StandardCharsets.UTF_8.name());
+        if (key.isBlank() || key.indexOf(REPLACEMENT) >= 0) {
+            logLeftOut("record", "its key is no name, offset " + offset);
+            return Optional.empty();
+        }
         int end = start + size;
-        return new Entry(
-                key,
+        Optional<Bytes> value =
                 valueStart < end
                         ? Optional.of(Bytes.wrap(body.getBytes(valueStart, end)))
-                        : Optional.empty(),
-                offset);
+                        : Optional.empty();
+        return Optional.of(new Entry(key, value, offset));
     }
 
     /** Posts a JSON message and returns the JSON answer. */
--- a/src/test/java/hyssopturn/platform/LogStoreClientTest.java
+++ b/src/test/java/hyssopturn/platform/LogStoreClientTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
@@ -23,21 +24,27 @@
 import io.vertx.core.VertxOptions;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.Collections;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 
 class LogStoreClientTest {
     private static final String HOST = "127.0.0.1";
@@ -143,6 +150,61 @@
                                                     .appendString("short"));
             assertThat(error(read()), instanceOf(FailedException.class));
         }
+
+        @ParameterizedTest
+        @ValueSource(ints = {Integer.MAX_VALUE, Integer.MAX_VALUE - 30, Integer.MIN_VALUE, -1})
+        void ofARecordWithAnImpossibleLengthFails(int size) {
+            Buffer page =
+                    Buffer.buffer()
+                            .appendLong(43)
+                            .appendLong(5)
+                            .appendBuffer(record("e1", "v"))
+                            .appendInt(size)
+                            .appendBuffer(record("e2", "v"));
+            handler = r -> r.response().end(page);
+            assertThat(error(read()), instanceOf(FailedException.class));
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"", "09", "0965", "00", "0076", "012076", "02c32876"})
+        void oneBrokenRecordIsLeftOutAndTheOthersAreKept(String broken) {
+            byte[] bytes = HexFormat.of().parseHex(broken);
+            Buffer page =
+                    Buffer.buffer()
+                            .appendLong(43)
+                            .appendLong(5)
+                            .appendBuffer(record("e1", "v"))
+                            .appendInt(bytes.length)
+                            .appendBytes(bytes)
+                            .appendBuffer(record("e3", "v"));
+            handler = r -> r.response().end(page);
+            KeyedLog.Page records = read().join();
+            assertThat(
+                    records.entries().stream().map(KeyedLog.Entry::key).toList(),
+                    contains("e1", "e3"));
+            assertThat(records.entries().getLast().offset(), equalTo(42L));
+            assertThat(records.next(), equalTo(43L));
+        }
+
+        @Test
+        void ofAPageThatEndsInsideALengthFails() {
+            handler =
+                    r ->
+                            r.response()
+                                    .end(
+                                            Buffer.buffer()
+                                                    .appendLong(43)
+                                                    .appendLong(5)
+                                                    .appendByte((byte) 0));
+            assertThat(error(read()), instanceOf(FailedException.class));
+        }
+
+        @ParameterizedTest
+        @ValueSource(longs = {Long.MAX_VALUE, 44, -1})
+        void ofAPageWhoseFirstOffsetIsOutsideTheStreamFails(long first) {
+            handler = r -> r.response().end(Buffer.buffer().appendLong(43).appendLong(first));
+            assertThat(error(read()), instanceOf(FailedException.class));
+        }
     }
 
     @Nested
@@ -169,6 +231,110 @@
                     page.entries().stream().map(KeyedLog.Entry::key).toList(), contains("a", "b"));
             assertThat(page.next(), equalTo(7L));
         }
+
+        private void answerInPagesOfOne(List<String> keys) {
+            handler =
+                    r -> {
+                        String after = r.getParam("After");
+                        int i = after == null ? 0 : keys.indexOf(after) + 1;
+                        JsonObject body =
+                                new JsonObject()
+                                        .put("Items", new JsonArray().add(object(keys.get(i))))
+                                        .put("HasMore", i + 1 < keys.size())
+                                        .put("End", 7);
+                        r.response().end(body.toBuffer());
+                    };
+        }
+
+        private static JsonObject object(String key) {
+            return new JsonObject().put("Key", key).put("Value", "eA==").put("Offset", 1);
+        }
+
+        private List<String> keys() {
+            return store.newest("op").orTimeout(10, TimeUnit.SECONDS).join().entries().stream()
+                    .map(KeyedLog.Entry::key)
+                    .toList();
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "a b",
+                    "a&After=z",
+                    "a#b",
+                    "100%",
+                    "a+b",
+                    "%41",
+                    "a=b?c/d",
+                    "\u00fc\u20ac",
+                    "\ud83d\ude00",
+                    "a\r\nX-Y: z",
+                    "a\tb",
+                    "\"\\"
+                })
+        void pagesThatEndWithAnOddKeyAreFollowedByTheRest(String odd) {
+            answerInPagesOfOne(List.of("a", odd, "z"));
+            assertThat(keys(), contains("a", odd, "z"));
+        }
+
+        @Test
+        void aPageThatEndsWithAnEmptyKeyIsFollowedByTheRest() {
+            answerInPagesOfOne(List.of("", "z"));
+            assertThat(keys(), hasItem("z"));
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"[]", "[{\"Key\":\"a\",\"Value\":\"eA==\",\"Offset\":1}]"})
+        void pagesWithoutProgressFail(String items) {
+            handler =
+                    r -> {
+                        boolean more = requests.size() < 50;
+                        String body = "{\"Items\":%s,\"HasMore\":%s,\"End\":7}";
+                        r.response().end(body.formatted(items, more));
+                    };
+            assertThat(error(store.newest("op")), instanceOf(FailedException.class));
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "{\"Key\":\"b\",\"Value\":\"%\",\"Offset\":1}",
+                    "{\"Key\":\"b\",\"Value\":\"eA=\",\"Offset\":1}",
+                    "{\"Key\":\"b\",\"Value\":7,\"Offset\":1}",
+                    "{\"Key\":\"b\",\"Value\":{\"x\":1},\"Offset\":1}",
+                    "{\"Key\":\" \",\"Value\":\"eA==\",\"Offset\":1}",
+                    "{\"Key\":\"\",\"Value\":\"eA==\",\"Offset\":1}",
+                    "{\"Key\":\"\\ud800\",\"Value\":\"eA==\",\"Offset\":1}",
+                    "{\"Key\":7,\"Value\":\"eA==\",\"Offset\":1}",
+                    "{\"Key\":null,\"Value\":\"eA==\",\"Offset\":1}",
+                    "{\"Value\":\"eA==\",\"Offset\":1}",
+                    "{\"Key\":\"b\",\"Value\":\"eA==\",\"Offset\":\"x\"}",
+                    "null",
+                    "7",
+                    "[]"
+                })
+        void oneOddItemIsLeftOutAndTheOthersAreKept(String odd) {
+            handler =
+                    r -> {
+                        String body = "{\"Items\":[%s,%s,%s],\"HasMore\":false,\"End\":7}";
+                        r.response().end(body.formatted(item("a", "x"), odd, item("c", "x")));
+                    };
+            assertThat(keys(), contains("a", "c"));
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {"{\"Items\":{},\"End\":7}", "{\"Items\":\"x\",\"End\":7}", "{}", ""})
+        void anAnswerThatIsNoListFails(String body) {
+            handler = r -> r.response().end(body);
+            assertThat(error(store.newest("op")), instanceOf(FailedException.class));
+        }
+
+        @Test
+        void anAnswerThatIsNestedDeeplyFails() {
+            handler = r -> r.response().end("{\"Items\":" + "[".repeat(100_000));
+            assertThat(error(store.newest("op")), instanceOf(FailedException.class));
+        }
     }
 
     @Nested
@@ -212,5 +378,13 @@
             assertThat(assignment.share(), equalTo(1.0 / 128));
             assertThat(requests.getFirst(), containsString("log-join"));
         }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"[", "{\"Generation\":"})
+        void anAnswerThatIsNestedDeeplyFails(String open) {
+            handler = r -> r.response().end(open.repeat(100_000));
+            CompletableFuture<?> call = new GroupDuties(store, "n1", 8).join(Duration.ofSeconds(3));
+            assertThat(error(call), instanceOf(FailedException.class));
+        }
     }
 }
