A slow plain attempt goes on until an answer is whole

Callers saw 502 after some 0.3 s although their slow endpoint would have answered a second later: another endpoint had appeared, the request was cancelled at the slow one, and the other refused, closed the connection or accepted none.

Cause: PlainCall cancelled on suspicion, before the other endpoint had shown anything, and never returned to the slow one. Besides, cancelling failed the old request's future at once, while it still counted as the attempt in progress: its handler started a retry of its own, so the other endpoint got the request twice.

Now the slow attempt goes on beside the next one. The first complete answer counts, the others are then reset; a failure retries only if no attempt is left. Returning to the slow endpoint instead would cost a second retry, which the budget may not have by then, and start its work anew. Attempts are told apart by number; cancelled ones are removed before they are reset. Unchanged: one attempt an endpoint, no more endpoints than the route allows, one charge to the retry budget for each further attempt, repeatable requests only. Price: until an answer comes, a slow request occupies several endpoints.

Tests: SilentEnginesTest.PlainEndpoints.

--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -99,7 +99,7 @@
         }
     }
 
-    /** Releases the resources of the attempt in progress, before the next attempt or the end. */
+    /** Releases the resources of the attempts in progress. */
     abstract void release();
 
     /** Handles the expiry of the request's timeout. */
@@ -188,7 +188,6 @@
      * shows that the endpoint has failed, a timeout is only a reason to check it.
      */
     final void connectFailed(Endpoint endpoint, Throwable error) {
-        clearUpstream();
         attempts--;
         attemptedEndpoints.remove(endpoint.id());
         excluded.add(endpoint.id());
@@ -222,10 +221,15 @@
     }
 
     final void clearUpstream() {
-        upstream = Optional.empty();
+        forgetUpstream();
         release();
     }
 
+    /** Leaves it to the subclass to reset the request that was opened last. */
+    final void forgetUpstream() {
+        upstream = Optional.empty();
+    }
+
     /** Returns whether the request may be sent to an endpoint that has not received it yet. */
     final boolean mayRetryElsewhere() {
         return attemptedEndpoints.size() < admitted.route().maxAttempts()
@@ -254,8 +258,8 @@
     }
 
     /**
-     * Counts and logs the retry by which an attempt at a suspected endpoint is replaced. The caller
-     * has checked that nothing stands in the way of a retry.
+     * Counts and logs the retry by which an attempt at a suspected endpoint is replaced or joined.
+     * The caller has checked that nothing stands in the way of a retry.
      */
     final void replaceAttempt(Endpoint endpoint, String cause, Optional<InstanceId> fault) {
         recordFailure(endpoint, cause, fault, true, RETRY);
@@ -276,6 +280,11 @@
                                 obstacle));
     }
 
+    /** Logs that an attempt failed, and what is done next. */
+    final void recordFailure(Endpoint endpoint, String cause, String next) {
+        recordFailure(endpoint, cause, Optional.empty(), false, next);
+    }
+
     private void countRetry() {
         context.retryBudget().tryAcquire(admitted.service(), answerState(), now());
     }
--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -11,12 +11,19 @@
 
 import java.time.Duration;
 import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.SequencedMap;
 import java.util.stream.Stream;
 
-/** A request to a plain service, whose answer is passed on once it has been read completely. */
+/**
+ * A request to a plain service, whose answer is passed on once it has been read completely.
+ *
+ * <p>A slow attempt goes on while another endpoint is tried: the first complete answer counts, and
+ * the other attempts are then cancelled. Each endpoint gets at most one attempt.
+ */
 final class PlainCall extends Call {
     /** Multiple of the route's target time after which a repeatable request is sent elsewhere. */
     private static final int SLOW_TARGETS = 2;
@@ -27,7 +34,8 @@
     private static final String SLOW = "slow";
 
     private final ServiceLoad load;
-    private Optional<Endpoint> current = Optional.empty();
+    private final SequencedMap<Integer, Running> running = new LinkedHashMap<>();
+    private int lastAttemptId;
     private Optional<Clock.Timer> slowTimer = Optional.empty();
 
     PlainCall(
@@ -40,16 +48,38 @@
         this.load = load;
     }
 
+    /** An attempt in progress, with its request once the connection is open. */
+    private record Running(
+            int id,
+            Endpoint endpoint,
+            boolean earlierMayHaveRun,
+            Optional<HttpClientRequest> opened) {
+        Running opened(HttpClientRequest request) {
+            return new Running(id, endpoint, earlierMayHaveRun, Optional.of(request));
+        }
+
+        void reset() {
+            opened.ifPresent(HttpClientRequest::reset);
+        }
+    }
+
     @Override
     void startAttempt() {
         Optional<Endpoint> choice = choose();
-        if (choice.isEmpty()) {
+        if (choice.isPresent()) {
+            startAt(choice.get());
+        } else if (running.isEmpty()) {
             giveUp(lastFailureOr("no endpoint"));
-            return;
+        } else {
+            watch(slowAfter());
         }
-        Endpoint endpoint = choice.get();
-        boolean earlierMayHaveRun = mayHaveRun();
-        current = choice;
+    }
+
+    private void startAt(Endpoint endpoint) {
+        stopWatch();
+        Running started = new Running(++lastAttemptId, endpoint, mayHaveRun(), Optional.empty());
+        running.put(started.id(), started);
+        excluded.add(endpoint.id());
         load.add(endpoint.id());
         Attempt attempt =
                 new Attempt(
@@ -58,9 +88,7 @@
                         admitted.account(),
                         remaining(),
                         OptionalLong.empty());
-        openRequest(attempt)
-                .onComplete(
-                        r -> send(endpoint, earlierMayHaveRun, r), e -> unreachable(endpoint, e));
+        openRequest(attempt).onComplete(r -> send(started, r), e -> unreachable(started, e));
     }
 
     /**
@@ -88,11 +116,12 @@
         return endpoints.stream().filter(e -> !excluded.contains(e.id()) && mayAttempt(e));
     }
 
-    private void unreachable(Endpoint endpoint, Throwable error) {
-        if (ended()) {
+    private void unreachable(Running attempt, Throwable error) {
+        if (stale(attempt)) {
             return;
         }
-        connectFailed(endpoint, error);
+        remove(attempt);
+        connectFailed(attempt.endpoint(), error);
         if (remaining().toMillis() > 0) {
             attempt();
         } else {
@@ -100,107 +129,113 @@
         }
     }
 
-    private void send(Endpoint endpoint, boolean earlierMayHaveRun, HttpClientRequest opened) {
-        if (ended()) {
+    private void send(Running attempt, HttpClientRequest opened) {
+        forgetUpstream();
+        if (stale(attempt)) {
             opened.reset();
             return;
         }
+        Running sent = attempt.opened(opened);
+        running.put(sent.id(), sent);
         markSending();
         if (admitted.route().retryPolicy().allowsRetry()) {
-            watch(endpoint, admitted.route().target().multipliedBy(SLOW_TARGETS));
+            watch(slowAfter());
         }
         opened.send(admitted.body())
                 .onComplete(
-                        r -> handleHead(endpoint, earlierMayHaveRun, opened, r),
-                        e -> handleFailure(endpoint, opened, "connection failed"));
+                        r -> handleHead(sent, r), e -> handleFailure(sent, "connection failed"));
+    }
+
+    private Duration slowAfter() {
+        return admitted.route().target().multipliedBy(SLOW_TARGETS);
+    }
+
+    /** Looks for another endpoint after a delay, and no earlier. */
+    private void watch(Duration delay) {
+        stopWatch();
+        slowTimer = Optional.of(context.clock().after(delay, () -> handleSlow(delay)));
     }
 
-    private void watch(Endpoint endpoint, Duration delay) {
-        slowTimer = Optional.of(context.clock().after(delay, () -> handleSlow(endpoint, delay)));
+    private void stopWatch() {
+        slowTimer.ifPresent(Clock.Timer::cancel);
+        slowTimer = Optional.empty();
     }
 
     /**
-     * Leaves a slow endpoint if the request may be sent to another one. Otherwise it waits on and
+     * Sends a slow request to another endpoint as well if it may be. Otherwise it waits on and
      * looks again later, less and less often.
      */
-    private void handleSlow(Endpoint endpoint, Duration delay) {
-        if (ended() || !current(endpoint)) {
+    private void handleSlow(Duration delay) {
+        if (ended() || running.isEmpty()) {
             return;
         }
-        Optional<String> obstacle = obstacleToLeaving(endpoint);
+        Endpoint slow = running.lastEntry().getValue().endpoint();
+        Optional<String> obstacle = obstacleToAnother();
         if (obstacle.isPresent()) {
-            keepAttempt(endpoint, SLOW, Optional.empty(), obstacle.get());
-            watch(endpoint, delay.multipliedBy(2).plus(MIN_RECHECK_DELAY));
+            keepAttempt(slow, SLOW, Optional.empty(), obstacle.get());
+            watch(delay.multipliedBy(2).plus(MIN_RECHECK_DELAY));
             return;
         }
-        excluded.add(endpoint.id());
-        replaceAttempt(endpoint, SLOW, Optional.empty());
-        cancelUpstream();
+        replaceAttempt(slow, SLOW, Optional.empty());
         attempt();
     }
 
-    private Optional<String> obstacleToLeaving(Endpoint endpoint) {
+    private Optional<String> obstacleToAnother() {
         Optional<String> obstacle = retryObstacle();
         if (obstacle.isPresent()) {
             return obstacle;
         }
-        boolean otherExists = candidates().anyMatch(e -> !e.id().equals(endpoint.id()));
-        return otherExists ? Optional.empty() : Optional.of("no other endpoint");
+        return candidates().findAny().isPresent()
+                ? Optional.empty()
+                : Optional.of("no other endpoint");
     }
 
-    /**
-     * Returns whether the attempt in progress is at the endpoint. Each endpoint gets at most one
-     * attempt, so the endpoint identifies the attempt.
-     */
-    private boolean current(Endpoint endpoint) {
-        return current.filter(endpoint::equals).isPresent();
+    private boolean stale(Running attempt) {
+        return ended() || !running.containsKey(attempt.id());
     }
 
-    private void handleHead(
-            Endpoint endpoint,
-            boolean earlierMayHaveRun,
-            HttpClientRequest opened,
-            HttpClientResponse answer) {
-        EndpointReply reply =
-                context.headerCodec().decodeReply(answer.statusCode(), answer.headers());
-        if (ended()) {
+    private void handleHead(Running attempt, HttpClientResponse answer) {
+        if (stale(attempt)) {
             return;
         }
+        EndpointReply reply =
+                context.headerCodec().decodeReply(answer.statusCode(), answer.headers());
         if (reply.refuses(admitted.headers().id())) {
-            opened.reset();
-            markNotRun(earlierMayHaveRun);
-            handleFailure(endpoint, opened, "endpoint refused");
+            // a later attempt may have run, whatever an earlier one says of itself
+            if (attempt.id() == lastAttemptId) {
+                markNotRun(attempt.earlierMayHaveRun());
+            }
+            handleFailure(attempt, "endpoint refused");
             return;
         }
         BoundedBody.read(answer)
                 .onComplete(
-                        body -> handleBody(endpoint, opened, reply, answer, body),
-                        e -> handleFailure(endpoint, opened, "answer cut off"));
+                        body -> handleBody(attempt, reply, answer, body),
+                        e -> handleFailure(attempt, "answer cut off"));
     }
 
     private void handleBody(
-            Endpoint endpoint,
-            HttpClientRequest opened,
-            EndpointReply reply,
-            HttpClientResponse answer,
-            Buffer body) {
-        if (ended()) {
+            Running attempt, EndpointReply reply, HttpClientResponse answer, Buffer body) {
+        if (stale(attempt)) {
             return;
         }
         if (!reply.matches(admitted.headers().id())) {
-            handleFailure(endpoint, opened, "foreign answer");
+            handleFailure(attempt, "foreign answer");
             return;
         }
         if (reply.unprovedRefusal()) {
-            handleFailure(endpoint, opened, "unproved refusal");
+            handleFailure(attempt, "unproved refusal");
             return;
         }
-        excluded.add(endpoint.id());
+        if (reply.failure() && running.size() > 1) {
+            handleFailure(attempt, "endpoint failed");
+            return;
+        }
+        remove(attempt);
         if (reply.failure()
                 && admitted.route().retryPolicy().allowsRetry()
                 && choose().isPresent()
-                && acquireRetry(endpoint, "endpoint failed", Optional.empty())) {
-            clearUpstream();
+                && acquireRetry(attempt.endpoint(), "endpoint failed", Optional.empty())) {
             attempt();
             return;
         }
@@ -212,26 +247,35 @@
         response.end(body);
     }
 
-    private void handleFailure(Endpoint endpoint, HttpClientRequest opened, String cause) {
-        if (ended() || !current(endpoint)) {
+    /** Retries after a failed attempt, unless another attempt is in progress. */
+    private void handleFailure(Running attempt, String cause) {
+        if (stale(attempt)) {
             return;
         }
-        opened.reset();
-        clearUpstream();
-        excluded.add(endpoint.id());
-        if (acquireRetry(endpoint, cause, Optional.empty())) {
+        attempt.reset();
+        remove(attempt);
+        if (!running.isEmpty()) {
+            recordFailure(attempt.endpoint(), cause, "other attempt goes on");
+            return;
+        }
+        if (acquireRetry(attempt.endpoint(), cause, Optional.empty())) {
             attempt();
         } else {
             giveUp(cause);
         }
     }
 
+    private void remove(Running attempt) {
+        running.remove(attempt.id());
+        load.remove(attempt.endpoint().id());
+    }
+
     @Override
     void release() {
-        current.ifPresent(e -> load.remove(e.id()));
-        current = Optional.empty();
-        slowTimer.ifPresent(Clock.Timer::cancel);
-        slowTimer = Optional.empty();
+        stopWatch();
+        List<Running> cancelled = List.copyOf(running.values());
+        cancelled.forEach(this::remove);
+        cancelled.forEach(Running::reset);
     }
 
     @Override
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -151,6 +151,7 @@
         if (stale(attemptId)) {
             return;
         }
+        clearUpstream();
         connectFailed(first, error);
         attempt();
     }
--- a/src/test/java/hyssopturn/platform/SilentEnginesTest.java
+++ b/src/test/java/hyssopturn/platform/SilentEnginesTest.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Answers of sound endpoints that say nothing for a while, longer than the stall timeouts. */
@@ -64,6 +65,12 @@
         over.join();
     }
 
+    private void awaitRun() {
+        while (runs.get() == 0) {
+            Thread.onSpinWait();
+        }
+    }
+
     private static boolean control(HttpServerRequest request) {
         return request.path().startsWith("/v1/");
     }
@@ -172,12 +179,6 @@
             return answer.join();
         }
 
-        private void awaitRun() {
-            while (runs.get() == 0) {
-                Thread.onSpinWait();
-            }
-        }
-
         @Test
         void continueAnAnswerThatTheOtherRefuses() {
             assertWhole(call(1, () -> harness.engine("e2", SilentEnginesTest::refuse)));
@@ -302,5 +303,102 @@
             harness.service("s2", r -> RelayHarness.signed(r).end("found"));
             assertThat(answer.join().body(), equalTo("found"));
         }
+
+        /** Answers the first request late and the others at once. */
+        private void answerFirstLate(HttpServerRequest request) {
+            if (runs.getAndIncrement() == 0) {
+                answerLate(request);
+            } else {
+                RelayHarness.signed(request).end("found");
+            }
+        }
+
+        /** Returns the answer to a request at a slow endpoint after which another one appears. */
+        private RelayHarness.Answer callSlow(Runnable startOther) {
+            harness.service("s1", this::answerFirstLate);
+            var answer = CompletableFuture.supplyAsync(() -> harness.call("/find/x", Map.of()));
+            awaitRun();
+            startOther.run();
+            return answer.join();
+        }
+
+        private void assertAnsweredBySlowEndpoint(Runnable startOther) {
+            RelayHarness.Answer answer = callSlow(startOther);
+            assertThat(answer.status(), equalTo(200));
+            assertThat(answer.body(), equalTo("found"));
+            assertThat(answer.complete(), is(true));
+            assertThat("requests sent to the slow endpoint", runs.get(), equalTo(1));
+            assertNotLoaded();
+        }
+
+        /** Checks that the first endpoint still precedes one that never had a request. */
+        private void assertNotLoaded() {
+            harness.service("s9", r -> RelayHarness.signed(r).end("from the idle endpoint"));
+            assertThat(harness.call("/find/x", Map.of()).body(), equalTo("found"));
+        }
+
+        @Test
+        void answerWhenTheOtherRefuses() {
+            assertAnsweredBySlowEndpoint(() -> harness.service("s2", SilentEnginesTest::refuse));
+        }
+
+        @Test
+        void answerWhenTheOtherAcceptsNoConnections() {
+            Address closed = new Address("127.0.0.1", 1);
+            assertAnsweredBySlowEndpoint(() -> harness.announce("s2", closed, Optional.empty()));
+        }
+
+        @Test
+        void answerWhenTheOtherClosesTheConnection() {
+            assertAnsweredBySlowEndpoint(() -> harness.service("s2", r -> r.connection().close()));
+        }
+
+        @Test
+        void answerWhenTheOtherReportsAFailure() {
+            assertAnsweredBySlowEndpoint(
+                    () ->
+                            harness.service(
+                                    "s2",
+                                    r -> RelayHarness.signed(r).setStatusCode(500).end("failed")));
+        }
+
+        @Test
+        void answerWhenTheOtherRefusesAndTheRetryBudgetIsUsedUpMeanwhile() {
+            assertAnsweredBySlowEndpoint(
+                    () ->
+                            harness.service(
+                                    "s2",
+                                    r -> {
+                                        CompletableFuture.runAsync(harness::exhaustRetries)
+                                                .thenRun(() -> refuse(r));
+                                    }));
+        }
+
+        @Test
+        void areCancelledOnceAnotherHasAnswered() {
+            CompletableFuture<Void> cancelled = new CompletableFuture<>();
+            harness.service(
+                    "s1", r -> r.connection().closeHandler(closed -> cancelled.complete(null)));
+            var answer = CompletableFuture.supplyAsync(() -> harness.call("/find/x", Map.of()));
+            awaitSilence();
+            harness.service("s2", r -> RelayHarness.signed(r).end("found"));
+            assertThat(answer.join().body(), equalTo("found"));
+            cancelled.orTimeout(500, TimeUnit.MILLISECONDS).join();
+        }
+
+        @Test
+        void mayFailWhileAnotherIsAtWork() {
+            harness.service(
+                    "s1",
+                    r -> {
+                        runs.incrementAndGet();
+                        harness.runAfter(Duration.ofMillis(700), () -> r.connection().close());
+                    });
+            var answer = CompletableFuture.supplyAsync(() -> harness.call("/find/x", Map.of()));
+            awaitRun();
+            harness.service("s2", this::answerLate);
+            assertThat(answer.join().body(), equalTo("found"));
+            assertThat(harness.requestIds(), hasSize(2));
+        }
     }
 }
