--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -349,8 +349,8 @@
                     relay.drain();
                     layers.stop();
                     clock.after(serving, () -> closeCallers(maximum.minus(serving), done));
-                    clock.after(maximum.minus(LAST_ANSWERS_TIME), relay::answerRemaining);
-                    clock.after(maximum.minus(CLOSE_TIME), relay::breakOffRemaining);
+                    clock.after(maximum.minus(LAST_ANSWERS_TIME), relay::giveUpBeforeExit);
+                    clock.after(maximum.minus(CLOSE_TIME), relay::breakOffBeforeExit);
                     clock.after(maximum, () -> stopped(done));
                 });
         return done;
--- a/src/main/java/hyssopturn/relay/Relay.java
+++ b/src/main/java/hyssopturn/relay/Relay.java
@@ -69,13 +69,13 @@
         calls.forEach(Call::announceClose);
     }
 
-    /** Answers every request in progress whose answer has not begun, before the process exits. */
-    public void answerRemaining() {
+    /** Gives up every request whose answer has not begun, before the process exits. */
+    public void giveUpBeforeExit() {
         List.copyOf(calls).forEach(Call::giveUpBeforeExit);
     }
 
     /** Breaks off and logs every answer in progress, since the process exits. */
-    public void breakOffRemaining() {
+    public void breakOffBeforeExit() {
         List.copyOf(calls).forEach(Call::breakOffBeforeExit);
     }
 
--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -241,8 +241,8 @@
     void endRemaining() {
         onLoop(
                 () -> {
-                    relay.answerRemaining();
-                    relay.breakOffRemaining();
+                    relay.giveUpBeforeExit();
+                    relay.breakOffBeforeExit();
                 });
     }
 
