--- a/src/main/java/hyssopturn/fleet/Roster.java
+++ b/src/main/java/hyssopturn/fleet/Roster.java
@@ -36,11 +36,11 @@
     /** Time under suspicion after which other endpoints should replace an endpoint. */
     public static final Duration LOST_AFTER = Duration.ofMillis(300);
 
-    /** Time without a readable announcement after which other endpoints should replace it. */
+    /** Time without a readable announcement after which others should replace an endpoint. */
     public static final Duration UNREADABLE_TOLERANCE = Duration.ofSeconds(3);
 
-    /** Time without an announcement after which one of an earlier start is believed again. */
-    public static final Duration OVERRIDDEN_AFTER = Duration.ofSeconds(3);
+    /** Time without an announcement of the latest start after which an earlier start counts. */
+    public static final Duration EARLIER_START_TIMEOUT = Duration.ofSeconds(3);
 
     private final Map<InstanceId, Entry> entries = new HashMap<>();
     private long outageEndNanos = Long.MIN_VALUE;
@@ -112,7 +112,7 @@
     private static boolean supersedes(Endpoint announced, Entry known, long nowNanos) {
         return announced.incarnation() > known.endpoint.incarnation()
                 || (announced.incarnation() < known.endpoint.incarnation()
-                        && nowNanos - known.lastHeartbeatNanos > OVERRIDDEN_AFTER.toNanos());
+                        && nowNanos - known.lastHeartbeatNanos > EARLIER_START_TIMEOUT.toNanos());
     }
 
     /**
--- a/src/main/java/hyssopturn/platform/EndpointDecoder.java
+++ b/src/main/java/hyssopturn/platform/EndpointDecoder.java
@@ -30,7 +30,7 @@
     private static final String BROADCAST = "255.255.255.255";
     private static final int MAX_NAME_LENGTH = 255;
     private static final int MAX_LAYERS = 100_000;
-    private static final Pattern HEADER_TOKEN = Pattern.compile("[!-~]{1,255}");
+    private static final Pattern VISIBLE_ASCII = Pattern.compile("[!-~]{1,255}");
     private static final ObjectMapper JSON =
             JsonMapper.builder()
                     .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
@@ -45,7 +45,7 @@
      */
     static Endpoint decode(String id, Bytes value) {
         try {
-            Check.that(HEADER_TOKEN.matcher(id).matches(), "id must be visible ASCII");
+            Check.that(VISIBLE_ASCII.matcher(id).matches(), "id must be visible ASCII");
             JsonNode node = JSON.readTree(value.toArray());
             return endpoint(new InstanceId(id), node);
         } catch (IOException | IllegalArgumentException e) {
--- a/src/main/java/hyssopturn/platform/HttpEngineControl.java
+++ b/src/main/java/hyssopturn/platform/HttpEngineControl.java
@@ -23,7 +23,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
-/** Reads reports of model workers and sends them orders, over HTTP. */
+/** Reads reports of engines and sends them orders, over HTTP. */
 final class HttpEngineControl implements EngineControl {
     private static final Duration REPORT_TIMEOUT = Duration.ofMillis(200);
     private static final Duration ORDER_TIMEOUT = Duration.ofMillis(800);
--- a/src/test/java/hyssopturn/node/RosterListenerTest.java
+++ b/src/test/java/hyssopturn/node/RosterListenerTest.java
@@ -101,7 +101,7 @@
             reader.records(new KeyedLog.Page(List.of(odd(random, key), sound("i-1", i)), i));
         }
         assertThat(sound(roster, "i-1"), is(true));
-        clock.advance(Roster.OVERRIDDEN_AFTER.plusSeconds(1));
+        clock.advance(Roster.EARLIER_START_TIMEOUT.plusSeconds(1));
         reader.records(new KeyedLog.Page(List.of(sound("i-2", 99), sound("i-3", 1)), 99));
         assertThat(sound(roster, "i-2"), is(true));
         assertThat(sound(roster, "i-3"), is(true));
