--- a/src/main/java/hyssopturn/relay/EventWait.java
+++ b/src/main/java/hyssopturn/relay/EventWait.java
@@ -21,6 +21,7 @@
      */
     private static final Duration FIRST_SEARCH_INTERVAL = Duration.ofMillis(200);
 
+    /** Longest time until another chain is searched for again. */
     private static final Duration MAX_SEARCH_INTERVAL = Duration.ofMillis(800);
 
     /** Multiple of the average gap after which the liveness of a stream's engines is checked. */
@@ -67,13 +68,9 @@
 
     /** Records that no replacement of a suspected engine could be found or used. */
     void markNotReplaced(long nowNanos) {
-        Duration doubled = searchInterval.multipliedBy(2);
-        if (searchInterval.isZero()) {
-            searchInterval = FIRST_SEARCH_INTERVAL;
-        } else {
-            searchInterval =
-                    doubled.compareTo(MAX_SEARCH_INTERVAL) < 0 ? doubled : MAX_SEARCH_INTERVAL;
-        }
+        Duration longer =
+                searchInterval.isZero() ? FIRST_SEARCH_INTERVAL : searchInterval.multipliedBy(2);
+        searchInterval = longer.compareTo(MAX_SEARCH_INTERVAL) < 0 ? longer : MAX_SEARCH_INTERVAL;
         nextSearchNanos = nowNanos + searchInterval.toNanos();
     }
 
