--- a/src/main/java/hyssopturn/relay/CrashWatch.java
+++ b/src/main/java/hyssopturn/relay/CrashWatch.java
@@ -37,7 +37,7 @@
     private final BiConsumer<Endpoint, Consumer<Liveness>> checks;
     private final Map<EngineRun, Loss> losses = new LinkedHashMap<>();
 
-    /** What was lost with one run of an engine. */
+    /** Requests that were lost with one run of an engine. */
     private static final class Loss {
         private final Endpoint engine;
         private final long sinceNanos;
@@ -68,7 +68,7 @@
     }
 
     /** Records that a request was lost at an engine before its answer had begun. */
-    void lost(Endpoint engine, List<String> parts) {
+    void recordLoss(Endpoint engine, List<String> parts) {
         if (parts.isEmpty()) {
             return;
         }
@@ -83,7 +83,7 @@
         }
     }
 
-    /** Checks whether an engine is gone, again and again while checks show nothing. */
+    /** Checks whether an engine is gone; a check that shows nothing is repeated for some time. */
     private void check(Loss loss) {
         loss.checking = true;
         checks.accept(
@@ -112,8 +112,11 @@
     }
 
     /** Records that an engine does not accept connections. */
-    void gone(Endpoint engine) {
-        Loss loss = loss(engine);
+    void recordGone(Endpoint engine) {
+        handleGone(loss(engine));
+    }
+
+    private void handleGone(Loss loss) {
         loss.gone = true;
         report(loss);
     }
@@ -123,12 +126,12 @@
         losses.values().removeIf(l -> l.expired(nowNanos));
         for (Loss loss : losses.values()) {
             if (!loss.gone && context.routingState().roster().ended(loss.engine)) {
-                loss.gone = true;
-                report(loss);
+                handleGone(loss);
             }
         }
     }
 
+    /** Reports the lost requests after a delay, in which others of the same run are collected. */
     private void report(Loss loss) {
         if (loss.reporting || loss.requests.isEmpty()) {
             return;
--- a/src/main/java/hyssopturn/relay/StallDetector.java
+++ b/src/main/java/hyssopturn/relay/StallDetector.java
@@ -153,7 +153,7 @@
         if (markSuspected(endpoint, Evidence.UNREACHABLE, waiting, "does not accept connections")) {
             context.faultReports().accept(endpoint);
         }
-        crashes.gone(endpoint);
+        crashes.recordGone(endpoint);
     }
 
     private void queryStall(Endpoint first, List<StreamCall> waiting) {
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -115,12 +115,15 @@
         return admitted.headers().sharedParts();
     }
 
-    /** Records that the attempt ended with its connection, perhaps since its engine crashed. */
+    /**
+     * Records that an engine of the attempt was lost or is suspected, perhaps since it crashed on
+     * this request; shows nothing once the answer has begun.
+     */
     void recordLoss(Endpoint engine) {
         if (deliveries < DELIVERIES_OF_BEGUN) {
             lostBeginnings += lostAttemptId == currentAttemptId ? 0 : 1;
             lostAttemptId = currentAttemptId;
-            stallDetector.crashes().lost(engine, sharedParts());
+            stallDetector.crashes().recordLoss(engine, sharedParts());
         }
     }
 
