--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -26,10 +26,10 @@
  */
 final class StreamCall extends Call {
     /**
-     * Number of deliveries after which an answer has begun; an engine that crashes as it begins to
+     * Number of deliveries after which an answer counts as begun; an engine that crashes as it begins to
      * write may still have sent the first event.
      */
-    private static final int DELIVERIES_OF_BEGUN = 2;
+    private static final int DELIVERIES_OF_BEGUN_ANSWER = 2;
 
     /** Number of attempts that may be lost with their engines before the answer has begun. */
     private static final int MAX_LOST_BEGINNINGS = 2;
@@ -120,16 +120,23 @@
      * this request; shows nothing once the answer has begun.
      */
     void recordLoss(Endpoint engine) {
-        if (deliveries < DELIVERIES_OF_BEGUN) {
-            lostBeginnings += lostAttemptId == currentAttemptId ? 0 : 1;
+        if (answerBegun()) {
+            return;
+        }
+        if (lostAttemptId != currentAttemptId) {
             lostAttemptId = currentAttemptId;
-            stallDetector.crashes().recordLoss(engine, sharedParts());
+            lostBeginnings++;
         }
+        stallDetector.crashes().recordLoss(engine, sharedParts());
+    }
+
+    private boolean answerBegun() {
+        return deliveries >= DELIVERIES_OF_BEGUN_ANSWER;
     }
 
     @Override
     Optional<String> repeatObstacle() {
-        if (deliveries >= DELIVERIES_OF_BEGUN || lostBeginnings == 0) {
+        if (answerBegun() || lostBeginnings == 0) {
             return Optional.empty();
         }
         if (lostBeginnings >= MAX_LOST_BEGINNINGS) {
@@ -298,7 +305,7 @@
         }
         recordDelivery();
         deliveries++;
-        if (deliveries == DELIVERIES_OF_BEGUN) {
+        if (deliveries == DELIVERIES_OF_BEGUN_ANSWER) {
             context.prompts().begun(sharedParts());
         }
         wait.delivered(now());
