--- a/src/main/java/hyssopturn/relay/ChainMoves.java
+++ b/src/main/java/hyssopturn/relay/ChainMoves.java
@@ -137,9 +137,9 @@
                             if (call.stale(attemptId)) {
                                 return;
                             }
-                            traceReroute("engine failed", error == null && done);
-                            if ((error != null || !done)
-                                    && call.chain().equals(Optional.of(detour))) {
+                            boolean confirmed = error == null && done;
+                            traceReroute("engine failed", confirmed);
+                            if (!confirmed && call.chain().equals(Optional.of(detour))) {
                                 handleNotRerouted(previous, engine, orderedNanos);
                             }
                         });
@@ -170,18 +170,20 @@
         }
         int attemptId = call.attemptId();
         EngineChain previous = current();
+        // an engine that does not answer the order may still carry it out
         reroute(detour.get(), engines)
                 .whenComplete(
                         (done, error) ->
-                                handleDepartureReroute(attemptId, previous, error != null || done));
+                                handleDepartureReroute(
+                                        attemptId, previous, error == null && !done));
     }
 
-    private void handleDepartureReroute(int attemptId, EngineChain previous, boolean accepted) {
+    private void handleDepartureReroute(int attemptId, EngineChain previous, boolean refused) {
         if (call.stale(attemptId)) {
             return;
         }
-        traceReroute("engine leaves", accepted);
-        if (!accepted) {
+        traceReroute("engine leaves", !refused);
+        if (refused) {
             call.switchTo(previous);
         }
     }
