--- a/src/main/java/hyssopturn/cli/RouterCommand.java
+++ b/src/main/java/hyssopturn/cli/RouterCommand.java
@@ -33,7 +33,7 @@
     /** Part of the grace period that is left for ending the process. */
     private static final Duration EXIT_TIME = Duration.ofMillis(500);
 
-    /** Time after the end of the drain in which a node whose event loop is late may report it. */
+    /** Extra time for a drain to report its end, in case the event loop of the node is late. */
     private static final Duration DRAIN_MARGIN = Duration.ofMillis(200);
 
     private CommandSpec spec;
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -332,7 +332,8 @@
 
     /**
      * Shuts down gracefully: reports the node as not ready, finishes requests in progress and
-     * closes the callers' connections.
+     * closes the callers' connections. Shortly before the maximum time has passed, requests without
+     * an answer get one, and then answers in progress are broken off.
      *
      * @param minimum time during which requests on open connections are still answered, at most
      *     half of the maximum
