--- a/src/test/java/hyssopturn/platform/AnswerEndsTest.java
+++ b/src/test/java/hyssopturn/platform/AnswerEndsTest.java
@@ -16,7 +16,7 @@
 import java.util.Map;
 import java.util.Optional;
 
-/** Answers of endpoints without a length, which end with their connection. */
+/** Ends of endpoints' answers, which show whether the answers are whole. */
 class AnswerEndsTest {
     private static final String HEAD =
             "HTTP/1.1 200 OK\r\nHyssopturn-Attempt-Id: r1\r\nHyssopturn-Server-Seal: s\r\n";
@@ -33,14 +33,14 @@
         vertx.close().await();
     }
 
-    private void worker(String answer, RawServer.End end, Optional<LayerRange> layers) {
+    private void startEndpoint(String answer, RawServer.End end, Optional<LayerRange> layers) {
         harness.announce("a", new RawServer(vertx, answer, end).address(), layers);
     }
 
     @Nested
-    class OfAPlainWorker {
+    class OfAPlainEndpoint {
         private RelayHarness.Answer call(String answer, RawServer.End end) {
-            worker(answer, end, Optional.empty());
+            startEndpoint(answer, end, Optional.empty());
             return harness.call("/book/a", Map.of());
         }
 
@@ -82,7 +82,7 @@
     @Nested
     class OfAnEngine {
         private RelayHarness.Answer call(String body, RawServer.End end) {
-            worker(HEAD + "\r\n" + body, end, Optional.of(new LayerRange(0, 80)));
+            startEndpoint(HEAD + "\r\n" + body, end, Optional.of(new LayerRange(0, 80)));
             return harness.call("/write/a", Map.of());
         }
 
--- a/src/test/java/hyssopturn/platform/OddHeadsTest.java
+++ b/src/test/java/hyssopturn/platform/MalformedHeadsTest.java
@@ -19,8 +19,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
-/** Heads that HTTP does not allow, from a caller or from an endpoint. */
-class OddHeadsTest {
+/** Heads of messages that HTTP does not allow, from a caller or from an endpoint. */
+class MalformedHeadsTest {
     private static final String EVENT = "id: 0\ndata: a\n\n";
     private static final int OK = 200;
     private static final int BAD_REQUEST = 400;
@@ -42,11 +42,11 @@
                 .join();
     }
 
-    private void worker(String header, String body, Optional<LayerRange> layers) {
-        worker("200 OK", header, body, layers);
+    private void startEndpoint(String header, String body, Optional<LayerRange> layers) {
+        startEndpoint("200 OK", header, body, layers);
     }
 
-    private void worker(String status, String header, String body, Optional<LayerRange> layers) {
+    private void startEndpoint(String status, String header, String body, Optional<LayerRange> layers) {
         String answer =
                 "HTTP/1.1 "
                         + status
@@ -61,14 +61,14 @@
     @ParameterizedTest
     @ValueSource(strings = {"X-Odd: a\u0001b", "X-Odd: \u00e9", "X(Odd): a", "X Odd: a", ": a"})
     void inAnAnswerDoNotLeaveTheRequestWithoutOne(String header) {
-        worker(header, "found", Optional.empty());
+        startEndpoint(header, "found", Optional.empty());
         assertThat(call("/look/a").status(), oneOf(OK, BAD_GATEWAY));
     }
 
     @ParameterizedTest
     @ValueSource(strings = {"X-Odd: a\u0001b", "X-Odd: \u00e9", "X(Odd): a", "X Odd: a", ": a"})
     void inAStreamDoNotLeaveTheRequestWithoutAnAnswer(String header) {
-        worker(header, EVENT, Optional.of(new LayerRange(0, 80)));
+        startEndpoint(header, EVENT, Optional.of(new LayerRange(0, 80)));
         assertThat(call("/write/a").status(), oneOf(OK, BAD_GATEWAY));
     }
 
@@ -91,14 +91,14 @@
     @ParameterizedTest
     @ValueSource(strings = {"0 Odd", "101 Odd", "199 Odd", "600 Odd", "2000 Odd"})
     void inAStatusLineAreNotPassedOnAsAnAnswer(String status) {
-        worker(status, "X-More: a", "found", Optional.empty());
+        startEndpoint(status, "X-More: a", "found", Optional.empty());
         assertThat(call("/book/a").status(), equalTo(BAD_GATEWAY));
     }
 
     @ParameterizedTest
     @ValueSource(strings = {"101 Odd", "2000 Odd"})
     void inTheStatusLineOfAStreamAreNotPassedOnAsAnAnswer(String status) {
-        worker(status, "X-More: a", EVENT, Optional.of(new LayerRange(0, 80)));
+        startEndpoint(status, "X-More: a", EVENT, Optional.of(new LayerRange(0, 80)));
         assertThat(call("/write/a").status(), equalTo(BAD_GATEWAY));
     }
 }
--- a/src/test/java/hyssopturn/platform/MisplacedRefusalTest.java
+++ b/src/test/java/hyssopturn/platform/MisplacedRefusalTest.java
@@ -25,7 +25,7 @@
 
 /**
  * Guards against refusals of other requests: taken for proof, they would tell a caller that a
- * request has not run, or send it to a second worker, although it ran.
+ * request has not run, or send it to a second endpoint, although it ran.
  */
 class MisplacedRefusalTest {
     private static final String HOST = "127.0.0.1";
@@ -55,8 +55,8 @@
         return request.getHeader("Hyssopturn-Attempt-Id");
     }
 
-    /** Starts a worker that writes the given bytes on each connection after the first bytes. */
-    private Address rawWorker(AtomicInteger connections, String answer) {
+    /** Starts an endpoint that writes the given bytes on each connection after the first bytes. */
+    private Address startEndpoint(AtomicInteger connections, String answer) {
         int port =
                 vertx.createNetServer()
                         .connectHandler(
@@ -83,7 +83,7 @@
     }
 
     @Nested
-    class OfAPlainWorker {
+    class OfAPlainEndpoint {
         @ParameterizedTest
         @ValueSource(ints = {400, 408, 421, 429, 503})
         void doesNotProveThatARequestHasNotRun(int status) {
@@ -129,7 +129,7 @@
             assertThat(harness.requestIds(), hasSize(1));
         }
 
-        /** The worker writes an earlier refusal after its answer; no later request may get it. */
+        /** The endpoint writes an earlier refusal after its answer; no later request may get it. */
         @Test
         void afterAnAnswerReachesNoLaterRequest() {
             AtomicInteger connections = new AtomicInteger();
@@ -137,7 +137,7 @@
                     "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nHyssopturn-Server-Seal: s\r\n\r\ndone"
                             + "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
                             + "Hyssopturn-Not-Executed: 1\r\n\r\n";
-            harness.announce("s1", rawWorker(connections, answer), Optional.empty());
+            harness.announce("s1", startEndpoint(connections, answer), Optional.empty());
             for (int i = 0; i < 3; i++) {
                 RelayHarness.Answer received = harness.call("/book/x", Map.of());
                 assertThat(received.status(), equalTo(OK));
@@ -153,7 +153,7 @@
                     "HTTP/1.1 %d Early\r\nHyssopturn-Server-Seal: s\r\n\r\n".formatted(status)
                             + "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"
                             + "Hyssopturn-Server-Seal: s\r\n\r\ndone";
-            harness.announce("s1", rawWorker(new AtomicInteger(), answer), Optional.empty());
+            harness.announce("s1", startEndpoint(new AtomicInteger(), answer), Optional.empty());
             int received = harness.call("/book/x", Map.of()).status();
             assertThat(received == OK || received == BAD_GATEWAY, equalTo(true));
         }
@@ -183,7 +183,7 @@
                             + "Hyssopturn-Not-Executed: 1\r\n\r\n";
             harness.announce(
                     "e1",
-                    rawWorker(new AtomicInteger(), answer),
+                    startEndpoint(new AtomicInteger(), answer),
                     Optional.of(new LayerRange(0, 80)));
             RelayHarness.Answer received = harness.call("/write/x", Map.of());
             assertThat(received.body(), equalTo("id: 0\ndata: a\n\n"));
--- a/src/test/java/hyssopturn/platform/ScriptedPlatform.java
+++ b/src/test/java/hyssopturn/platform/ScriptedPlatform.java
@@ -28,7 +28,7 @@
 
 /**
  * Test harness: a whole node on a platform whose configurations are scripted by tests, with one
- * plain worker of each service. Platform and node run on event loops of their own.
+ * plain endpoint of each service. Platform and node run on event loops of their own.
  */
 final class ScriptedPlatform implements AutoCloseable {
     private static final String HOST = "127.0.0.1";
@@ -38,7 +38,7 @@
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final Vertx nodeVertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final List<Bytes> configs = Collections.synchronizedList(new ArrayList<>());
-    private final Handler<HttpServerRequest> worker;
+    private final Handler<HttpServerRequest> endpoint;
     private final Address store;
     private final Address front = freeAddress();
     private final RelayNode node;
@@ -48,10 +48,10 @@
      * Starts the platform and a node.
      *
      * @param config the first configuration
-     * @param worker answers as the workers of both services
+     * @param endpoint answers as the endpoints of both services
      */
-    ScriptedPlatform(String config, Handler<HttpServerRequest> worker) {
-        this.worker = worker;
+    ScriptedPlatform(String config, Handler<HttpServerRequest> endpoint) {
+        this.endpoint = endpoint;
         configs.add(Bytes.utf8(config));
         int port =
                 vertx.createHttpServer(new HttpServerOptions().setMaxInitialLineLength(1 << 16))
@@ -149,7 +149,7 @@
                                             .put("parts", new JsonArray())
                                             .toBuffer());
             case "/v1/log-leave", "/v1/log-append" -> request.response().end("{}");
-            default -> worker.handle(request);
+            default -> endpoint.handle(request);
         }
     }
 
