--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -26,8 +26,8 @@
  */
 final class StreamCall extends Call {
     /**
-     * Number of deliveries after which an answer counts as begun; an engine that crashes as it begins to
-     * write may still have sent the first event.
+     * Number of deliveries after which an answer counts as begun; an engine that crashes as it
+     * begins to write may still have sent the first event.
      */
     private static final int DELIVERIES_OF_BEGUN_ANSWER = 2;
 
--- a/src/test/java/hyssopturn/platform/MalformedHeadsTest.java
+++ b/src/test/java/hyssopturn/platform/MalformedHeadsTest.java
@@ -46,7 +46,8 @@
         startEndpoint("200 OK", header, body, layers);
     }
 
-    private void startEndpoint(String status, String header, String body, Optional<LayerRange> layers) {
+    private void startEndpoint(
+            String status, String header, String body, Optional<LayerRange> layers) {
         String answer =
                 "HTTP/1.1 "
                         + status
