--- a/src/test/java/hyssopturn/node/FaultReporterTest.java
+++ b/src/test/java/hyssopturn/node/FaultReporterTest.java
@@ -26,7 +26,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
 
 class FaultReporterTest {
     private static final int NODES = 73;
@@ -39,28 +38,8 @@
     private final VirtualClock clock = new VirtualClock(0);
     private final TraceLog trace = new TraceLog("n", clock, OutputStream.nullOutputStream(), 1_000);
     private final List<FaultReporter> reporters = new ArrayList<>();
-    private int appends;
-
-    /** Log that delivers each record to all reporters. */
-    private final class SharedLog implements KeyedLog {
-        @Override
-        public CompletableFuture<Page> newest(String stream) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Page> read(String stream, long from, Duration wait) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Void> append(String stream, String key, Bytes value) {
-            appends++;
-            Page page = new Page(List.of(new Entry(key, Optional.of(value), appends)), appends);
-            clock.after(LOG_DELAY, () -> reporters.forEach(r -> r.records(page)));
-            return CompletableFuture.completedFuture(null);
-        }
-    }
+    private final SharedLog log =
+            new SharedLog(clock, LOG_DELAY, page -> reporters.forEach(r -> r.records(page)));
 
     @AfterEach
     void close() {
@@ -72,17 +51,12 @@
         for (int i = 0; i < NODES; i++) {
             reporters.add(
                     new FaultReporter(
-                            new SharedLog(),
-                            new Roster(),
-                            clock,
-                            trace,
-                            "n" + i,
-                            new SplittableRandom(i)));
+                            log, new Roster(), clock, trace, "n" + i, new SplittableRandom(i)));
         }
         reporters.forEach(r -> r.accept(ENGINE));
         clock.advance(Duration.ofSeconds(1));
-        assertThat(appends, greaterThan(0));
-        assertThat(appends, lessThan(NODES / 4));
+        assertThat(log.appends(), greaterThan(0));
+        assertThat(log.appends(), lessThan(NODES / 4));
     }
 
     @ParameterizedTest
@@ -125,8 +99,7 @@
         Roster roster = new Roster();
         roster.announce(ENGINE, 0);
         FaultReporter reporter =
-                new FaultReporter(
-                        new SharedLog(), roster, clock, trace, "n", new SplittableRandom(1));
+                new FaultReporter(log, roster, clock, trace, "n", new SplittableRandom(1));
         Bytes sound = new FaultReport(ENGINE.id(), ENGINE.incarnation(), "n2").encode();
         reporter.records(
                 new KeyedLog.Page(
--- a/src/test/java/hyssopturn/node/SharedQuarantineTest.java
+++ b/src/test/java/hyssopturn/node/SharedQuarantineTest.java
@@ -22,12 +22,9 @@
 import java.io.OutputStream;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
 
 /** Several nodes that share what they find out about parts of prompts through the log. */
 class SharedQuarantineTest {
@@ -43,10 +40,10 @@
     private final VirtualClock clock = new VirtualClock(0);
     private final TraceLog trace = new TraceLog("n", clock, OutputStream.nullOutputStream(), 1_000);
     private final SplittableRandom random = new SplittableRandom(28);
-    private final Map<String, KeyedLog.Entry> stored = new LinkedHashMap<>();
     private final List<Node> nodes = new ArrayList<>();
     private final List<Long> crashNanos = new ArrayList<>();
-    private int appends;
+    private final SharedLog log =
+            new SharedLog(clock, LOG_DELAY, page -> nodes.forEach(n -> n.listener.records(page)));
 
     private final class Node {
         private final PromptGuard guard;
@@ -54,7 +51,6 @@
 
         Node(int number) {
             String name = "n" + number;
-            SharedLog log = new SharedLog();
             QuarantineReporter reporter = new QuarantineReporter(log, clock, trace, name, random);
             guard =
                     new PromptGuard(
@@ -67,29 +63,6 @@
         }
     }
 
-    /** Log that delivers each record to all nodes. */
-    private final class SharedLog implements KeyedLog {
-        @Override
-        public CompletableFuture<Page> newest(String stream) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Page> read(String stream, long from, Duration wait) {
-            return new CompletableFuture<>();
-        }
-
-        @Override
-        public CompletableFuture<Void> append(String stream, String key, Bytes value) {
-            appends++;
-            Entry entry = new Entry(key, Optional.of(value), appends);
-            stored.put(key, entry);
-            Page page = new Page(List.of(entry), appends + 1);
-            clock.after(LOG_DELAY, () -> nodes.forEach(n -> n.listener.records(page)));
-            return CompletableFuture.completedFuture(null);
-        }
-    }
-
     private void start() {
         for (int i = 0; i < NODES; i++) {
             nodes.add(new Node(i));
@@ -164,8 +137,7 @@
             clock.advance(Duration.ofSeconds(1));
         }
         Node fresh = new Node(NODES);
-        fresh.listener.snapshot(
-                new KeyedLog.Page(List.copyOf(stored.values()).reversed(), appends + 1));
+        fresh.listener.snapshot(new KeyedLog.Page(log.stored().reversed(), log.appends() + 1));
         assertThat(fresh.guard.check(List.of("bad")).isPresent(), is(true));
     }
 
