--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -204,15 +204,7 @@
                 context.headerCodec().decodeReply(answer.statusCode(), answer.headers());
         if (reply.refuses(admitted.headers().id())) {
             markNotRun(earlierMayHaveRun);
-            InstanceId refusing =
-                    reply.failedEngine()
-                            .flatMap(context.routingState().roster()::findByAddress)
-                            .orElse(chain.orElseThrow().first().engine())
-                            .id();
-            refusingEngine = Optional.of(refusing);
-            excluded.add(refusing);
-            context.load().recordRefusal(refusing, now());
-            recover(attemptId, "engine refused");
+            handleRefusal(attemptId, reply);
             return;
         }
         if (!reply.matches(admitted.headers().id())) {
@@ -236,6 +228,19 @@
         answer.exceptionHandler(e -> cutOff(attemptId, "stream cut off"));
     }
 
+    /** Retries without the engine that refused, which may be a later one of the chain. */
+    private void handleRefusal(int attemptId, EndpointReply reply) {
+        InstanceId refusing =
+                reply.failedEngine()
+                        .flatMap(context.routingState().roster()::findByAddress)
+                        .orElse(chain.orElseThrow().first().engine())
+                        .id();
+        refusingEngine = Optional.of(refusing);
+        excluded.add(refusing);
+        context.load().recordRefusal(refusing, now());
+        recover(attemptId, "engine refused");
+    }
+
     private boolean sameContentType(HttpClientResponse answer) {
         return mediaType(answer.headers()).equals(mediaType(response.headers()));
     }
