--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -159,17 +159,10 @@
                         adapter.engines());
         callers = server(relay::handle);
         config = configFollower(adapter);
-        endpoints =
-                follower(
-                        adapter,
-                        adapter.endpointStream(),
-                        new KeyedFollower.Pacing(Duration.ZERO, endpointReadInterval()),
-                        new RosterListener(knowledge.roster(), adapter::endpoint, clock, trace));
+        endpoints = endpointFollower(adapter);
         faults =
-                follower(
+                faultFollower(
                         adapter,
-                        FaultReport.STREAM,
-                        new KeyedFollower.Pacing(FAULT_READ_WAIT, FAULT_READ_PAUSE),
                         new FaultStreamListener(faultReporter, quarantineReporter, prompts));
         layers = layers(adapter);
     }
@@ -207,6 +200,22 @@
                 new CatalogListener(knowledge, adapter::catalog, clock, trace));
     }
 
+    private KeyedFollower endpointFollower(PlatformAdapter adapter) {
+        return follower(
+                adapter,
+                adapter.endpointStream(),
+                new KeyedFollower.Pacing(Duration.ZERO, endpointReadInterval()),
+                new RosterListener(knowledge.roster(), adapter::endpoint, clock, trace));
+    }
+
+    private KeyedFollower faultFollower(PlatformAdapter adapter, FaultStreamListener listener) {
+        return follower(
+                adapter,
+                FaultReport.STREAM,
+                new KeyedFollower.Pacing(FAULT_READ_WAIT, FAULT_READ_PAUSE),
+                listener);
+    }
+
     private KeyedFollower follower(
             PlatformAdapter adapter,
             String stream,
