--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -159,17 +159,10 @@
                         adapter.engines());
         callers = server(relay::handle);
         config = configFollower(adapter);
-        endpoints =
-                follower(
-                        adapter,
-                        adapter.endpointStream(),
-                        new KeyedFollower.Pacing(Duration.ZERO, endpointReadInterval()),
-                        new RosterListener(knowledge.roster(), adapter::endpoint, clock, trace));
+        endpoints = endpointFollower(adapter);
         faults =
-                follower(
+                faultFollower(
                         adapter,
-                        FaultReport.STREAM,
-                        new KeyedFollower.Pacing(FAULT_READ_WAIT, FAULT_READ_PAUSE),
                         new FaultStreamListener(faultReporter, quarantineReporter, prompts));
         layers = layers(adapter);
     }
@@ -207,6 +200,22 @@
                 new CatalogListener(knowledge, adapter::catalog, clock, trace));
     }
 
+    private KeyedFollower endpointFollower(PlatformAdapter adapter) {
+        return follower(
+                adapter,
+                adapter.endpointStream(),
+                new KeyedFollower.Pacing(Duration.ZERO, endpointReadInterval()),
+                new RosterListener(knowledge.roster(), adapter::endpoint, clock, trace));
+    }
+
+    private KeyedFollower faultFollower(PlatformAdapter adapter, FaultStreamListener listener) {
+        return follower(
+                adapter,
+                FaultReport.STREAM,
+                new KeyedFollower.Pacing(FAULT_READ_WAIT, FAULT_READ_PAUSE),
+                listener);
+    }
+
     private KeyedFollower follower(
             PlatformAdapter adapter,
             String stream,
@@ -332,7 +341,8 @@
 
     /**
      * Shuts down gracefully: reports the node as not ready, finishes requests in progress and
-     * closes the callers' connections.
+     * closes the callers' connections. Shortly before the maximum time has passed, requests without
+     * an answer get one, and then answers in progress are broken off.
      *
      * @param minimum time during which requests on open connections are still answered, at most
      *     half of the maximum
@@ -349,8 +359,8 @@
                     relay.drain();
                     layers.stop();
                     clock.after(serving, () -> closeCallers(maximum.minus(serving), done));
-                    clock.after(maximum.minus(LAST_ANSWERS_TIME), relay::answerRemaining);
-                    clock.after(maximum.minus(CLOSE_TIME), relay::breakOffRemaining);
+                    clock.after(maximum.minus(LAST_ANSWERS_TIME), relay::giveUpBeforeExit);
+                    clock.after(maximum.minus(CLOSE_TIME), relay::breakOffBeforeExit);
                     clock.after(maximum, () -> stopped(done));
                 });
         return done;
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -26,10 +26,10 @@
  */
 final class StreamCall extends Call {
     /**
-     * Number of deliveries after which an answer has begun; an engine that crashes as it begins to
-     * write may still have sent the first event.
+     * Number of deliveries after which an answer counts as begun; an engine that crashes as it
+     * begins to write may still have sent the first event.
      */
-    private static final int DELIVERIES_OF_BEGUN = 2;
+    private static final int DELIVERIES_OF_BEGUN_ANSWER = 2;
 
     /** Number of attempts that may be lost with their engines before the answer has begun. */
     private static final int MAX_LOST_BEGINNINGS = 2;
@@ -115,18 +115,28 @@
         return admitted.headers().sharedParts();
     }
 
-    /** Records that the attempt ended with its connection, perhaps since its engine crashed. */
+    /**
+     * Records that an engine of the attempt was lost or is suspected, perhaps since it crashed on
+     * this request; shows nothing once the answer has begun.
+     */
     void recordLoss(Endpoint engine) {
-        if (deliveries < DELIVERIES_OF_BEGUN) {
-            lostBeginnings += lostAttemptId == currentAttemptId ? 0 : 1;
+        if (answerBegun()) {
+            return;
+        }
+        if (lostAttemptId != currentAttemptId) {
             lostAttemptId = currentAttemptId;
-            stallDetector.crashes().lost(engine, sharedParts());
+            lostBeginnings++;
         }
+        stallDetector.crashes().recordLoss(engine, sharedParts());
+    }
+
+    private boolean answerBegun() {
+        return deliveries >= DELIVERIES_OF_BEGUN_ANSWER;
     }
 
     @Override
     Optional<String> repeatObstacle() {
-        if (deliveries >= DELIVERIES_OF_BEGUN || lostBeginnings == 0) {
+        if (answerBegun() || lostBeginnings == 0) {
             return Optional.empty();
         }
         if (lostBeginnings >= MAX_LOST_BEGINNINGS) {
@@ -195,15 +205,7 @@
                 context.headerCodec().decodeReply(answer.statusCode(), answer.headers());
         if (reply.refuses(admitted.headers().id())) {
             markNotRun(earlierMayHaveRun);
-            InstanceId refusing =
-                    reply.failedEngine()
-                            .flatMap(context.routingState().roster()::findByAddress)
-                            .orElse(chain.orElseThrow().first().engine())
-                            .id();
-            refusingEngine = Optional.of(refusing);
-            excluded.add(refusing);
-            context.load().recordRefusal(refusing, now());
-            recover(attemptId, "engine refused");
+            handleRefusal(attemptId, reply);
             return;
         }
         if (!reply.matches(admitted.headers().id())) {
@@ -227,6 +229,19 @@
         answer.exceptionHandler(e -> cutOff(attemptId, "stream cut off"));
     }
 
+    /** Retries without the engine that refused, which may be a later one of the chain. */
+    private void handleRefusal(int attemptId, EndpointReply reply) {
+        InstanceId refusing =
+                reply.failedEngine()
+                        .flatMap(context.routingState().roster()::findByAddress)
+                        .orElse(chain.orElseThrow().first().engine())
+                        .id();
+        refusingEngine = Optional.of(refusing);
+        excluded.add(refusing);
+        context.load().recordRefusal(refusing, now());
+        recover(attemptId, "engine refused");
+    }
+
     private boolean sameContentType(HttpClientResponse answer) {
         return mediaType(answer.headers()).equals(mediaType(response.headers()));
     }
@@ -296,7 +311,7 @@
         }
         recordDelivery();
         deliveries++;
-        if (deliveries == DELIVERIES_OF_BEGUN) {
+        if (deliveries == DELIVERIES_OF_BEGUN_ANSWER) {
             context.prompts().begun(sharedParts());
         }
         wait.delivered(now());
