--- a/src/main/java/hyssopturn/trace/TraceEvent.java
+++ b/src/main/java/hyssopturn/trace/TraceEvent.java
@@ -141,7 +141,7 @@
     record LoopDelayed(long lateMillis) implements TraceEvent {}
 
     /**
-     * An attempt failed or was given up.
+     * An attempt failed, was given up, or is slow and goes on beside the next one.
      *
      * @param request id of the request
      * @param attempt number of the attempt
@@ -150,8 +150,8 @@
      * @param fault engine that failed or refused, empty if it is the first endpoint or unknown
      * @param mayHaveRun false if the endpoint's answer or the connection proves that the request
      *     did not run
-     * @param suspected true if the attempt was given up only because an endpoint was silent, false
-     *     if an answer or the connection shows that it failed
+     * @param suspected true if the next attempt follows only because an endpoint was silent, false
+     *     if an answer or the connection shows that this one failed
      * @param next decision that followed
      * @param parts ids of the prompt's parts that other requests may share, in order
      */
