An outage of all engines holds back a shared part for seconds, not half an hour

What callers would see: engines end one after the other within seconds while no request begins; when they are back, requests whose prompts share a part that was sound before are refused for up to half an hour, an hour at some nodes. Cause: each crash that met requests in progress multiplied the quarantine by four, also the crashes at the same outage, before any request could show anything. Fix: a part that is known to have begun gets a longer quarantine only by a crash after the last one was over. A part that never began is handled as before, so what crashes engines from its first request on reaches no more engines than it did. Before: PromptQuarantineTest.AnOutageOfAllEngines failed on (20 crashes in 5 s, "Expected: is <true> but: was <false>" 15 s after the last).

--- a/src/main/java/hyssopturn/quarantine/PartEvidence.java
+++ b/src/main/java/hyssopturn/quarantine/PartEvidence.java
@@ -20,6 +20,7 @@
     private final Map<EngineRun, Set<String>> crashes = new LinkedHashMap<>();
 
     private int count;
+    private int quarantines;
     private long firstNanos = Long.MAX_VALUE;
     private long countedNanos;
     private long latestNanos = Long.MIN_VALUE;
@@ -57,6 +58,11 @@
         return crashes.size();
     }
 
+    /** Returns how often the part has been put into quarantine. */
+    int quarantines() {
+        return quarantines;
+    }
+
     /** Returns whether the part has been in quarantine. */
     boolean everBlamed() {
         return untilNanos != Long.MIN_VALUE;
@@ -96,6 +102,7 @@
     }
 
     void quarantine(long endNanos) {
+        quarantines++;
         untilNanos = Math.max(untilNanos, endNanos);
     }
 
--- a/src/main/java/hyssopturn/quarantine/PromptQuarantine.java
+++ b/src/main/java/hyssopturn/quarantine/PromptQuarantine.java
@@ -118,8 +118,11 @@
             for (String part : suspected(request, nowNanos)) {
                 PartEvidence evidence = touch(part, nowNanos);
                 boolean known = known(part, nowNanos);
-                if (evidence.add(crash.run(), request, nowNanos) && blamed(known, evidence)) {
-                    Duration duration = duration(known, evidence.count());
+                boolean held = known && nowNanos < evidence.untilNanos();
+                if (evidence.add(crash.run(), request, nowNanos)
+                        && blamed(known, evidence)
+                        && !held) {
+                    Duration duration = duration(known, evidence);
                     evidence.quarantine(nowNanos + duration.toNanos());
                     blamed.add(new Blame(part, evidence.count(), duration));
                 }
@@ -172,10 +175,11 @@
         return evidence.size() >= MIN_SHARE * all;
     }
 
-    private Duration duration(boolean known, int count) {
-        int first = known ? MIN_CRASHES_IF_KNOWN - 1 : MIN_CRASHES;
+    /** Returns the next quarantine; if many requests share the part, it grows once for each. */
+    private Duration duration(boolean known, PartEvidence evidence) {
+        int growths = known ? evidence.quarantines() : evidence.count() - MIN_CRASHES;
         Duration duration = FIRST_QUARANTINE;
-        for (int i = first; i < count && shorter(duration); i++) {
+        for (int i = 0; i < growths && shorter(duration); i++) {
             duration = duration.multipliedBy(GROWTH);
         }
         Duration limited = shorter(duration) ? duration : MAX_QUARANTINE;
--- a/src/test/java/hyssopturn/quarantine/PromptQuarantineTest.java
+++ b/src/test/java/hyssopturn/quarantine/PromptQuarantineTest.java
@@ -45,6 +45,23 @@
         return quarantine.check(List.of(parts), nowNanos).isEmpty();
     }
 
+    @Nested
+    class AnOutageOfAllEngines {
+        private static final int ENGINES = 20;
+
+        @Test
+        void isOverForAPartThatBeganBeforeItAfterTheFirstQuarantine() {
+            quarantine.recordBegin(List.of("class"), 0);
+            long last = 0;
+            for (int i = 0; i < ENGINES; i++) {
+                last = 10 * SECOND + i * SECOND / 4;
+                crash(last, List.of("class", "part" + i));
+            }
+            long end = last + PromptQuarantine.FIRST_QUARANTINE.toNanos();
+            assertThat(allowed(end, "class"), is(true));
+        }
+    }
+
     @Nested
     class APartThatCrashesEngines {
         @Test
