An answer that has begun is not given up after two more lost engines

What callers would see: a stream of which they had events broke off after its first engine and the next two had ended, though an attempt was left and the request is plainly not what makes engines end. Fix: a request that has begun once stays begun. Before: CrashingPromptTest.anAnswerThatHasBegunSurvivesTwoMoreCrashes failed on ("Expected: <true> but: was <false>", the answer was not complete).

--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -46,6 +46,7 @@
     private int currentAttemptId;
     private boolean moved;
     private int deliveries;
+    private boolean begun;
     private int lostBeginnings;
     private int lostAttemptId;
 
@@ -117,7 +118,7 @@
 
     /** Records that the attempt ended with its connection, perhaps since its engine crashed. */
     void recordLoss(Endpoint engine) {
-        if (deliveries < DELIVERIES_OF_BEGUN) {
+        if (!begun) {
             lostBeginnings += lostAttemptId == currentAttemptId ? 0 : 1;
             lostAttemptId = currentAttemptId;
             stallDetector.crashes().lost(engine, sharedParts());
@@ -126,7 +127,7 @@
 
     @Override
     Optional<String> repeatObstacle() {
-        if (deliveries >= DELIVERIES_OF_BEGUN || lostBeginnings == 0) {
+        if (begun || lostBeginnings == 0) {
             return Optional.empty();
         }
         if (lostBeginnings >= MAX_LOST_BEGINNINGS) {
@@ -296,6 +297,7 @@
         recordDelivery();
         deliveries++;
         if (deliveries == DELIVERIES_OF_BEGUN) {
+            begun = true;
             context.prompts().begun(sharedParts());
         }
         wait.delivered(now());
--- a/src/test/java/hyssopturn/platform/CrashingPromptTest.java
+++ b/src/test/java/hyssopturn/platform/CrashingPromptTest.java
@@ -106,4 +106,41 @@
         assertThat(Double.parseDouble(answer.headers().get("Retry-After")), greaterThan(1.0));
         assertThat(crashes.get(), equalTo(before));
     }
+
+    private static void write(HttpServerRequest request, int event) {
+        if (!request.response().headWritten()) {
+            RelayHarness.signed(request).setChunked(true);
+        }
+        request.response().write("id: " + event + "\ndata: a\n\n");
+    }
+
+    private void breakOff(HttpServerRequest request) {
+        harness.runLater(() -> request.connection().close());
+    }
+
+    @Test
+    void anAnswerThatHasBegunSurvivesTwoMoreCrashes() {
+        AtomicInteger runs = new AtomicInteger();
+        for (int i = 0; i < ENGINES; i++) {
+            harness.engine("e" + i, r -> beginOnceAndFinishFourth(r, runs.incrementAndGet()));
+        }
+        RelayHarness.Answer answer = send("shared:4,own:4");
+        assertThat(answer.complete(), equalTo(true));
+        assertThat(runs.get(), equalTo(4));
+    }
+
+    private void beginOnceAndFinishFourth(HttpServerRequest request, int run) {
+        if (run == 4) {
+            RelayHarness.signed(request).setChunked(true).end("id: 2\ndata: c\n\n");
+            return;
+        }
+        if (run == 1) {
+            write(request, 0);
+            harness.runLater(() -> write(request, 1));
+            harness.runLater(() -> breakOff(request));
+            return;
+        }
+        RelayHarness.signed(request).setChunked(true).writeHead();
+        breakOff(request);
+    }
 }
