A silent engine does not count as a lost one when a request is repeated

What callers would see: a request that was moved away from a silent engine and whose next engine then ended got 502, though an attempt and other engines were left. Fix: a suspicion is told to the watch over ended engines, which checks it, and keeps a request with a suspected part where it is, but only lost connections are counted.

--- a/src/main/java/hyssopturn/relay/ChainMoves.java
+++ b/src/main/java/hyssopturn/relay/ChainMoves.java
@@ -49,7 +49,7 @@
     void replaceSuspected(Endpoint engine, EngineControl engines) {
         call.guarded(
                 () -> {
-                    call.recordLoss(engine);
+                    call.suspectLoss(engine);
                     Optional<EngineChain> detour = usableDetour(engine);
                     if (detour.isPresent()) {
                         rerouteAround(engine, detour.get(), engines);
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -47,8 +47,8 @@
     private boolean moved;
     private int deliveries;
     private boolean begun;
+    private boolean lossSuspected;
     private int lostBeginnings;
-    private int lostAttemptId;
 
     StreamCall(
             RelayContext context,
@@ -117,17 +117,24 @@
     }
 
     /** Records that the attempt ended with its connection, perhaps since its engine crashed. */
-    void recordLoss(Endpoint engine) {
+    private void recordLoss(Endpoint engine) {
         if (!begun) {
-            lostBeginnings += lostAttemptId == currentAttemptId ? 0 : 1;
-            lostAttemptId = currentAttemptId;
+            lostBeginnings++;
+            stallDetector.crashes().lost(engine, sharedParts());
+        }
+    }
+
+    /** Records that the attempt waits for an engine that may have crashed, or is only silent. */
+    void suspectLoss(Endpoint engine) {
+        if (!begun) {
+            lossSuspected = true;
             stallDetector.crashes().lost(engine, sharedParts());
         }
     }
 
     @Override
     Optional<String> repeatObstacle() {
-        if (begun || lostBeginnings == 0) {
+        if (begun || (lostBeginnings == 0 && !lossSuspected)) {
             return Optional.empty();
         }
         if (lostBeginnings >= MAX_LOST_BEGINNINGS) {
--- a/src/test/java/hyssopturn/platform/CrashingPromptTest.java
+++ b/src/test/java/hyssopturn/platform/CrashingPromptTest.java
@@ -143,4 +143,29 @@
         RelayHarness.signed(request).setChunked(true).writeHead();
         breakOff(request);
     }
+
+    @Test
+    void aSilentEngineIsNoLossThatEndsARequestAtItsNextOne() {
+        AtomicInteger runs = new AtomicInteger();
+        for (int i = 0; i < ENGINES; i++) {
+            harness.engine("e" + i, r -> stallOnceAndFinishThird(r, runs));
+        }
+        assertThat(send("shared:4,own:4").body(), equalTo(EVENTS));
+        assertThat(runs.get(), equalTo(3));
+    }
+
+    private void stallOnceAndFinishThird(HttpServerRequest request, AtomicInteger runs) {
+        if (request.path().startsWith("/v1/")) {
+            return;
+        }
+        int run = runs.incrementAndGet();
+        if (run == 3) {
+            RelayHarness.signed(request).setChunked(true).end(EVENTS);
+            return;
+        }
+        RelayHarness.signed(request).setChunked(true).writeHead();
+        if (run == 2) {
+            breakOff(request);
+        }
+    }
 }
