--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -46,8 +46,9 @@
     private int currentAttemptId;
     private boolean moved;
     private int deliveries;
+    private boolean begun;
+    private boolean lossSuspected;
     private int lostBeginnings;
-    private int lostAttemptId;
 
     StreamCall(
             RelayContext context,
@@ -115,28 +116,25 @@
         return admitted.headers().sharedParts();
     }
 
-    /**
-     * Records that an engine of the attempt was lost or is suspected, perhaps since it crashed on
-     * this request; shows nothing once the answer has begun.
-     */
-    void recordLoss(Endpoint engine) {
-        if (answerBegun()) {
-            return;
-        }
-        if (lostAttemptId != currentAttemptId) {
-            lostAttemptId = currentAttemptId;
+    /** Records that the attempt ended with its connection, perhaps since its engine crashed. */
+    private void recordLoss(Endpoint engine) {
+        if (!begun) {
             lostBeginnings++;
+            stallDetector.crashes().recordLoss(engine, sharedParts());
         }
-        stallDetector.crashes().recordLoss(engine, sharedParts());
     }
 
-    private boolean answerBegun() {
-        return deliveries >= DELIVERIES_OF_BEGUN_ANSWER;
+    /** Records that the attempt waits for an engine that may have crashed, or is only silent. */
+    void suspectLoss(Endpoint engine) {
+        if (!begun) {
+            lossSuspected = true;
+            stallDetector.crashes().recordLoss(engine, sharedParts());
+        }
     }
 
     @Override
     Optional<String> repeatObstacle() {
-        if (answerBegun() || lostBeginnings == 0) {
+        if (begun || (lostBeginnings == 0 && !lossSuspected)) {
             return Optional.empty();
         }
         if (lostBeginnings >= MAX_LOST_BEGINNINGS) {
@@ -312,6 +310,7 @@
         recordDelivery();
         deliveries++;
         if (deliveries == DELIVERIES_OF_BEGUN_ANSWER) {
+            begun = true;
             context.prompts().begun(sharedParts());
         }
         wait.delivered(now());
