Review case 1: a few answers without end hold a router's event loop for seconds

Three answers in 98 clients' streams turn into bytes without a line end; the event framer scans all of them again with each piece. Bookings of other services stay without an answer. The cases are numbered anew, the gravest first.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 here=$(cd "$(dirname "$0")" && pwd)
-exec sh "$here/../run-case.sh" "$here" LargeBodies
+exec sh "$here/../run-case.sh" "$here" EndlessAnswer
--- a/review/standin/Engine.java
+++ b/review/standin/Engine.java
@@ -3,13 +3,17 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A model worker that holds all layers and streams numbered events. */
 final class Engine {
-    static final int EVENTS = 150;
     private static final int GAP_MS = 35;
+    private static final int SPOILED_AFTER = 3;
+    private static final int PIECE_BYTES = 256;
+    private static final int ENDLESS_MBPS = 16;
 
     final String id;
     final String address;
@@ -20,12 +24,24 @@
     /** Number of refusals, by attempt id. */
     final Map<String, Integer> refusals = new ConcurrentHashMap<>();
 
+    /** Answers that went on without end, until the caller closed. */
+    final AtomicInteger endless = new AtomicInteger();
+
+    /** While above 0, every n-th answer turns into bytes without end. */
+    volatile int spoilEvery;
+
+    private final int events;
     private final boolean full;
+    private final AtomicInteger started = new AtomicInteger();
     private volatile long silentUntilNanos = System.nanoTime();
 
-    /** A full engine has no memory for a further request and refuses it. */
-    Engine(String id, String ip, boolean full) throws IOException {
+    /**
+     * Starts an engine whose answers have a number of events. A full one has no memory for a
+     * further request and refuses it.
+     */
+    Engine(String id, String ip, int events, boolean full) throws IOException {
         this.id = id;
+        this.events = events;
         this.full = full;
         address = ip + ":" + Http.serve(ip, this::serve).getLocalPort();
     }
@@ -93,8 +109,14 @@
                                 + "\r\nContent-Type: text/event-stream\r\n"
                                 + "Transfer-Encoding: chunked\r\n\r\n")
                         .getBytes(StandardCharsets.ISO_8859_1));
-        for (int i = first; i < EVENTS; i++) {
+        int every = spoilEvery;
+        boolean spoiled = every > 0 && started.incrementAndGet() % every == 0;
+        for (int i = first; i < events; i++) {
             awaitVoice();
+            if (spoiled && i == first + SPOILED_AFTER) {
+                writeWithoutEnd(out);
+                return;
+            }
             byte[] event = event(attempt, i).getBytes(StandardCharsets.ISO_8859_1);
             out.write((Integer.toHexString(event.length) + "\r\n").getBytes());
             out.write(event);
@@ -109,6 +131,27 @@
         out.write("0\r\n\r\n".getBytes());
     }
 
+    /** Writes chunks of bytes that are no event, until the caller closes the connection. */
+    private void writeWithoutEnd(OutputStream out) throws IOException {
+        endless.incrementAndGet();
+        byte[] piece = new byte[PIECE_BYTES];
+        Arrays.fill(piece, (byte) 'z');
+        byte[] size = (Integer.toHexString(PIECE_BYTES) + "\r\n").getBytes();
+        long start = System.nanoTime();
+        for (long sent = 0; ; sent += PIECE_BYTES) {
+            out.write(size);
+            out.write(piece);
+            out.write("\r\n".getBytes());
+            out.flush();
+            long due = sent * 8_000 / ENDLESS_MBPS - (System.nanoTime() - start);
+            try {
+                Thread.sleep(Math.max(0, due / 1_000_000));
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
     static String event(String attempt, int number) {
         return "id: " + number + "\ndata: " + attempt + "/" + number + "\n\n";
     }
--- a/review/standin/SilentEngine.java
+++ b/review/standin/SilentEngine.java
@@ -10,11 +10,12 @@
 /** A planned stop of one machine while a sound engine is silent for a second and another is full. */
 final class SilentEngine extends Case {
     private static final String IP = "127.0.0.1";
+    private static final int EVENTS = 150;
     private static final int[] CLIENTS = {45, 27, 26};
     private static final long SILENCE_MS = 1_200;
     private static final double GRACE_S = 8;
 
-    private static final String CONFIG =
+    static final String CONFIG =
             "{\"Version\":1,\"Routes\":[{\"Name\":\"r-sheet\",\"Host\":\"a.example\","
                     + "\"PathPrefix\":\"/sheet/\",\"Type\":\"streaming\",\"TimeoutMs\":20000,"
                     + "\"TargetLatencyMs\":500,\"Priority\":1,\"Service\":\"model\","
@@ -46,8 +47,8 @@
     @Override
     boolean broken() throws Exception {
         Store store = new Store(IP);
-        Engine sound = new Engine("i-sound", IP, false);
-        Engine full = new Engine("i-full", IP, true);
+        Engine sound = new Engine("i-sound", IP, EVENTS, false);
+        Engine full = new Engine("i-full", IP, EVENTS, true);
         store.put("keyed.op", "config", CONFIG);
         Http.daemon(() -> beat(store, List.of(sound, full)));
         for (int i = 0; i < CLIENTS.length; i++) {
@@ -134,7 +135,7 @@
         }
     }
 
-    private static byte[] request(String id) {
+    static byte[] request(String id) {
         return ("POST /sheet/x HTTP/1.1\r\nHost: a.example\r\nX-Api-Key: k1\r\n"
                         + "Hyssopturn-Attempt-Id: " + id + "\r\nHyssopturn-Model: m\r\n"
                         + "Hyssopturn-Token-Counts: 800,300\r\n"
@@ -155,7 +156,7 @@
                 got.append(new String(c, StandardCharsets.ISO_8859_1));
             }
             String whole = "";
-            for (int i = 0; i < Engine.EVENTS; i++) {
+            for (int i = 0; i < EVENTS; i++) {
                 whole += Engine.event(id, i);
             }
             result = got.toString().equals(whole) ? "whole" : "wrong bytes";
