--- a/src/test/java/hyssopturn/relay/EventFramerTest.java
+++ b/src/test/java/hyssopturn/relay/EventFramerTest.java
@@ -1,6 +1,7 @@
 package hyssopturn.relay;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
 
@@ -10,7 +11,9 @@
 import net.jqwik.api.Property;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
+import java.util.OptionalLong;
 import java.util.Random;
 
 class EventFramerTest {
@@ -29,6 +32,39 @@
         assertThat(framer.incomplete(), is(false));
     }
 
+    /** Guards against examining an event again with each piece that arrives of it. */
+    @Test
+    @Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void costOfAnEventDoesNotGrowWithTheNumberOfItsPieces() {
+        EventFramer framer = new EventFramer();
+        Buffer piece = Buffer.buffer("z");
+        for (int i = 0; i < EventFramer.MAX_EVENT_BYTES; i++) {
+            assertThat(framer.feed(piece).size(), equalTo(0));
+        }
+        assertThat(framer.tooLong(), is(false));
+        framer.feed(piece);
+        assertThat(framer.tooLong(), is(true));
+    }
+
+    @Test
+    void blockWithoutFieldsIsAComment() {
+        EventFramer framer = new EventFramer();
+        var events = framer.feed(Buffer.buffer(": a\n \n\nid: 1\n: b\n\n\n"));
+        assertThat(
+                events.stream().map(EventFramer.Event::comment).toList(),
+                contains(true, false, true));
+        assertThat(events.get(1).id().orElseThrow(), equalTo(1L));
+    }
+
+    @Test
+    void idOfAnEventDoesNotApplyToTheNextOne() {
+        EventFramer framer = new EventFramer();
+        var events = framer.feed(Buffer.buffer("id: 1\nid: 2\n\ndata: b\n\nid: x\nid: 3\n\n"));
+        assertThat(
+                events.stream().map(EventFramer.Event::id).toList(),
+                contains(OptionalLong.of(1), OptionalLong.empty(), OptionalLong.empty()));
+    }
+
     @Property(tries = 200)
     void bytesArePreservedHoweverTheStreamIsSplit(@ForAll Random random) {
         StringBuilder all = new StringBuilder();
