Messages in many small pieces are read at a limited rate

Cause: the cost of a piece of a message hardly depends on its size. A chunk of one byte costs as much on the event loop as one of kilobytes, so an answer at 16 Mbit/s can take it up. EventFramer was only one of the places: plain bodies, reports of engines, pages of the log and bodies of callers are read in pieces too.

Change: ReadPacer counts pieces below 512 bytes (and events) of each message. After 1,000 at once it reads 4,000 a second; in between the connection is paused, so that its sender waits. Nothing is lost or refused. Backpressure from a slow caller goes through the same object, so that neither pause ends the other one.

--- a/src/main/java/hyssopturn/platform/HttpCalls.java
+++ b/src/main/java/hyssopturn/platform/HttpCalls.java
@@ -110,8 +110,7 @@
                 .increment();
     }
 
-    private static void send(
-            HttpClientRequest request, Buffer body, CompletableFuture<Answer> result) {
+    private void send(HttpClientRequest request, Buffer body, CompletableFuture<Answer> result) {
         result.whenComplete(
                 (answer, error) -> {
                     if (error != null) {
@@ -121,7 +120,7 @@
         request.send(body)
                 .compose(
                         response ->
-                                BoundedBody.read(response)
+                                BoundedBody.read(response, clock)
                                         .map(bytes -> new Answer(response.statusCode(), bytes)))
                 .onComplete(
                         result::complete,
--- a/src/main/java/hyssopturn/relay/BoundedBody.java
+++ b/src/main/java/hyssopturn/relay/BoundedBody.java
@@ -1,5 +1,7 @@
 package hyssopturn.relay;
 
+import hyssopturn.port.Clock;
+
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
@@ -25,14 +27,17 @@
      * Reads a body.
      *
      * @param answer the answer, of which only the head has been read
+     * @param clock clock and timer, whose tasks run on the event loop of the answer
      * @return the complete body; fails with {@link TooLongException} as soon as the maximum size is
      *     exceeded, and the caller must then close the connection
      */
-    public static Future<Buffer> read(HttpClientResponse answer) {
+    public static Future<Buffer> read(HttpClientResponse answer, Clock clock) {
         Promise<Buffer> whole = Promise.promise();
         Buffer body = Buffer.buffer();
+        ReadPacer pacer = new ReadPacer(clock, answer);
         answer.handler(
                 bytes -> {
+                    pacer.read(1, bytes.length());
                     if (body.length() + (long) bytes.length() <= MAX_BYTES) {
                         body.appendBuffer(bytes);
                     } else {
--- a/src/main/java/hyssopturn/relay/Relay.java
+++ b/src/main/java/hyssopturn/relay/Relay.java
@@ -123,10 +123,12 @@
                         .map(c -> c.limits().bodyBytes())
                         .orElse(Long.MAX_VALUE);
         Buffer body = Buffer.buffer();
+        ReadPacer pacer = new ReadPacer(context.clock(), request);
         request.handler(
                 bytes -> {
+                    pacer.read(1, bytes.length());
                     if (body.length() + (long) bytes.length() > limit) {
-                        request.handler(ignored -> {});
+                        request.handler(ignored -> pacer.read(1, ignored.length()));
                         refuse(request, TOO_LARGE, "body too large", arrivedNanos);
                     } else {
                         body.appendBuffer(bytes);
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -222,7 +222,8 @@
             recover(attemptId, "other content type");
             return;
         }
-        answer.handler(bytes -> handleBytes(attemptId, answer, bytes));
+        ReadPacer pacer = new ReadPacer(context.clock(), answer);
+        answer.handler(bytes -> handleBytes(attemptId, answer, pacer, bytes));
         answer.endHandler(v -> end(attemptId));
         answer.exceptionHandler(e -> cutOff(attemptId, "stream cut off"));
     }
@@ -256,7 +257,7 @@
             recover(attemptId, "engine failed");
             return;
         }
-        BoundedBody.read(answer)
+        BoundedBody.read(answer, context.clock())
                 .onComplete(
                         body -> passStatus(attemptId, reply, answer, body),
                         e -> recover(attemptId, "answer cut off"));
@@ -274,36 +275,39 @@
         response.end(body);
     }
 
-    private void handleBytes(int attemptId, HttpClientResponse answer, Buffer bytes) {
+    private void handleBytes(
+            int attemptId, HttpClientResponse answer, ReadPacer pacer, Buffer bytes) {
         if (stale(attemptId)) {
             return;
         }
         Buffer ready = Buffer.buffer();
-        for (EventFramer.Event event : framer.feed(bytes)) {
+        List<EventFramer.Event> events = framer.feed(bytes);
+        pacer.read(1 + events.size(), bytes.length());
+        for (EventFramer.Event event : events) {
             switch (progress.advance(event)) {
                 case DELIVER -> ready.appendBuffer(event.bytes());
                 case SKIP -> {
                     // the caller received the event from an earlier chain
                 }
                 case GAP -> {
-                    deliver(answer, ready);
+                    deliver(answer, pacer, ready);
                     recover(attemptId, "event missing");
                     return;
                 }
                 case UNNUMBERED -> {
-                    deliver(answer, ready);
+                    deliver(answer, pacer, ready);
                     recover(attemptId, "event without id");
                     return;
                 }
             }
         }
-        deliver(answer, ready);
+        deliver(answer, pacer, ready);
         if (framer.tooLong()) {
             recover(attemptId, "event without end");
         }
     }
 
-    private void deliver(HttpClientResponse answer, Buffer ready) {
+    private void deliver(HttpClientResponse answer, ReadPacer pacer, Buffer ready) {
         if (ready.length() == 0) {
             return;
         }
@@ -317,8 +321,8 @@
         writeHead(answer);
         response.write(ready);
         if (response.writeQueueFull()) {
-            answer.pause();
-            response.drainHandler(v -> answer.resume());
+            pacer.pause();
+            response.drainHandler(v -> pacer.resume());
         }
     }
 
--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -415,6 +415,15 @@
         return answers.stream().map(answer -> answer.await()).toList();
     }
 
+    /** Keeps a number of requests in progress; each is followed by another a little later. */
+    void keepCalling(String path, int count) {
+        IntStream.range(0, count).forEach(i -> keepCalling(path));
+    }
+
+    private void keepCalling(String path) {
+        send(path, Map.of()).onComplete(r -> runLater(() -> keepCalling(path)));
+    }
+
     /** Sends a request and reads the answer on the event loop, which discards unread bytes. */
     private Future<Answer> send(String path, Map<String, String> headers) {
         return client.request(HttpMethod.POST, port, HOST, path)
