Endless answers together stay below a part of the heap

Cause: each body may have 8,000,000 bytes and each event 1,000,000, but nothing limited their sum. At a heap of 160 MB some 20 endless bodies use it up.

Change: AnswerMemory counts the incomplete bodies and events of the node, reports and pages of the log too, and discards the largest ones when they exceed a fifth of the heap. Endless answers thus never displace usual ones. A discarded answer is a failed attempt.

--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -12,6 +12,7 @@
 import hyssopturn.port.Duties;
 import hyssopturn.quarantine.PromptGuard;
 import hyssopturn.quarantine.PromptQuarantine;
+import hyssopturn.relay.AnswerMemory;
 import hyssopturn.relay.LoopLag;
 import hyssopturn.relay.Relay;
 import hyssopturn.relay.RelayContext;
@@ -77,6 +78,9 @@
     /** Connect timeout of the log store; longer than three round trips to a slow store. */
     private static final Duration STORE_CONNECT_TIMEOUT = Duration.ofMillis(700);
 
+    /** Part of the heap that incomplete answers may use, as a divisor. */
+    private static final int ANSWER_HEAP_DIVISOR = 5;
+
     private static final int ACCEPT_BACKLOG = 1_024;
 
     private final Vertx vertx;
@@ -124,6 +128,8 @@
         HttpClient endpointClient =
                 HttpClients.withoutKeepAlive(
                         vertx, ENDPOINT_CONNECTIONS, settings.connectTimeout());
+        AnswerMemory answerMemory =
+                new AnswerMemory(Runtime.getRuntime().maxMemory() / ANSWER_HEAP_DIVISOR);
         PlatformAdapter adapter =
                 new PlatformAdapter(
                         platform,
@@ -131,6 +137,7 @@
                                 vertx, STORE_CONNECTIONS, STORE_CONNECT_TIMEOUT),
                         endpointClient,
                         clock,
+                        answerMemory,
                         meters);
         FaultReporter faultReporter =
                 new FaultReporter(
@@ -152,6 +159,7 @@
                                 new ConnectProbe(vertx, PROBE_TIMEOUT),
                                 new LoopLag(),
                                 faultReporter,
+                                answerMemory,
                                 prompts,
                                 trace,
                                 meters,
--- a/src/main/java/hyssopturn/platform/HttpCalls.java
+++ b/src/main/java/hyssopturn/platform/HttpCalls.java
@@ -4,6 +4,7 @@
 import hyssopturn.port.Clock;
 import hyssopturn.port.InDoubtException;
 import hyssopturn.port.RefusedException;
+import hyssopturn.relay.AnswerMemory;
 import hyssopturn.relay.BoundedBody;
 
 import io.micrometer.core.instrument.MeterRegistry;
@@ -24,6 +25,7 @@
 
     private final HttpClient client;
     private final Clock clock;
+    private final AnswerMemory memory;
     private final MeterRegistry meters;
     private final String callee;
 
@@ -32,12 +34,19 @@
      *
      * @param client HTTP client
      * @param clock clock whose tasks run on the event loop of the client
+     * @param memory limits the answers that are read at the same time
      * @param meters registry for the counters of calls and their outcomes
      * @param callee label value of the callees in the counters
      */
-    HttpCalls(HttpClient client, Clock clock, MeterRegistry meters, String callee) {
+    HttpCalls(
+            HttpClient client,
+            Clock clock,
+            AnswerMemory memory,
+            MeterRegistry meters,
+            String callee) {
         this.client = client;
         this.clock = clock;
+        this.memory = memory;
         this.meters = meters;
         this.callee = callee;
     }
@@ -120,7 +129,7 @@
         request.send(body)
                 .compose(
                         response ->
-                                BoundedBody.read(response, clock)
+                                BoundedBody.read(response, clock, memory)
                                         .map(bytes -> new Answer(response.statusCode(), bytes)))
                 .onComplete(
                         result::complete,
--- a/src/main/java/hyssopturn/platform/PlatformAdapter.java
+++ b/src/main/java/hyssopturn/platform/PlatformAdapter.java
@@ -6,6 +6,7 @@
 import hyssopturn.port.Duties;
 import hyssopturn.port.EngineControl;
 import hyssopturn.port.KeyedLog;
+import hyssopturn.relay.AnswerMemory;
 import hyssopturn.relay.HeaderCodec;
 
 import io.micrometer.core.instrument.MeterRegistry;
@@ -27,6 +28,7 @@
      * @param storeClient HTTP client for the log store
      * @param engineClient HTTP client for engines
      * @param clock clock whose tasks run on the event loop of the clients
+     * @param memory limits the answers that are read at the same time
      * @param meters registry for the counters of calls
      */
     public PlatformAdapter(
@@ -34,12 +36,15 @@
             HttpClient storeClient,
             HttpClient engineClient,
             Clock clock,
+            AnswerMemory memory,
             MeterRegistry meters) {
         store =
                 new LogStoreClient(
-                        new HttpCalls(storeClient, clock, meters, "store"), settings.store());
+                        new HttpCalls(storeClient, clock, memory, meters, "store"),
+                        settings.store());
         duties = new GroupDuties(store, settings.node(), settings.partitions());
-        engines = new HttpEngineControl(new HttpCalls(engineClient, clock, meters, "engine"));
+        engines =
+                new HttpEngineControl(new HttpCalls(engineClient, clock, memory, meters, "engine"));
     }
 
     /**
--- a/src/main/java/hyssopturn/relay/BoundedBody.java
+++ b/src/main/java/hyssopturn/relay/BoundedBody.java
@@ -14,12 +14,12 @@
 
     private BoundedBody() {}
 
-    /** Thrown when a body exceeds the maximum size; the excess bytes were discarded. */
+    /** Thrown when a body is too large to be held; the excess bytes were discarded. */
     public static final class TooLongException extends RuntimeException {
         private static final long serialVersionUID = 1;
 
-        TooLongException() {
-            super("body of over " + MAX_BYTES + " bytes");
+        TooLongException(String message) {
+            super(message);
         }
     }
 
@@ -28,24 +28,32 @@
      *
      * @param answer the answer, of which only the head has been read
      * @param clock clock and timer, whose tasks run on the event loop of the answer
+     * @param memory limits the bodies that are read at the same time
      * @return the complete body; fails with {@link TooLongException} as soon as the maximum size is
-     *     exceeded, and the caller must then close the connection
+     *     exceeded or the memory is used up, and the caller must then close the connection
      */
-    public static Future<Buffer> read(HttpClientResponse answer, Clock clock) {
+    public static Future<Buffer> read(HttpClientResponse answer, Clock clock, AnswerMemory memory) {
         Promise<Buffer> whole = Promise.promise();
         Buffer body = Buffer.buffer();
         ReadPacer pacer = new ReadPacer(clock, answer);
+        AnswerMemory.Holding holding =
+                memory.hold(
+                        () -> whole.tryFail(new TooLongException("memory for answers used up")));
         answer.handler(
                 bytes -> {
                     pacer.read(1, bytes.length());
+                    if (whole.future().isComplete()) {
+                        return;
+                    }
                     if (body.length() + (long) bytes.length() <= MAX_BYTES) {
                         body.appendBuffer(bytes);
+                        holding.resize(body.length());
                     } else {
-                        whole.tryFail(new TooLongException());
+                        whole.tryFail(new TooLongException("body of over " + MAX_BYTES + " bytes"));
                     }
                 });
         answer.endHandler(v -> whole.tryComplete(body));
         answer.exceptionHandler(whole::tryFail);
-        return whole.future();
+        return whole.future().onComplete(r -> holding.release());
     }
 }
--- a/src/main/java/hyssopturn/relay/EventFramer.java
+++ b/src/main/java/hyssopturn/relay/EventFramer.java
@@ -70,6 +70,11 @@
         return length > MAX_EVENT_BYTES;
     }
 
+    /** Returns the number of bytes of memory that are used. */
+    int usedBytes() {
+        return buffer.length;
+    }
+
     private void append(Buffer bytes) {
         int needed = length + bytes.length();
         if (needed > buffer.length) {
--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -208,7 +208,7 @@
             handleFailure(attempt, "endpoint refused");
             return;
         }
-        BoundedBody.read(answer, context.clock())
+        BoundedBody.read(answer, context.clock(), context.answerMemory())
                 .onComplete(
                         body -> handleBody(attempt, reply, answer, body),
                         e -> handleFailure(attempt, "answer cut off"));
--- a/src/main/java/hyssopturn/relay/RelayContext.java
+++ b/src/main/java/hyssopturn/relay/RelayContext.java
@@ -30,6 +30,7 @@
  *     that an endpoint failed
  * @param faultReports receives engines that do not accept connections or that another engine waits
  *     for
+ * @param answerMemory limits the incomplete answers that the node holds
  * @param prompts parts of prompts that make engines crash
  * @param trace structured log
  * @param meters registry of counters and timers
@@ -47,6 +48,7 @@
         LivenessProbe liveness,
         LoopLag loopLag,
         Consumer<Endpoint> faultReports,
+        AnswerMemory answerMemory,
         PromptGuard prompts,
         TraceLog trace,
         MeterRegistry meters,
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -41,6 +41,7 @@
     private final ChainMoves moves;
     private final Set<InstanceId> avoidedFirst = new HashSet<>();
     private Optional<EngineChain> chain = Optional.empty();
+    private Optional<AnswerMemory.Holding> unfinishedEvent = Optional.empty();
     private Optional<InstanceId> refusingEngine = Optional.empty();
     private EventFramer framer = new EventFramer();
     private int currentAttemptId;
@@ -222,6 +223,9 @@
             recover(attemptId, "other content type");
             return;
         }
+        AnswerMemory.Holding holding =
+                context.answerMemory().hold(() -> recover(attemptId, "memory for answers used up"));
+        unfinishedEvent = Optional.of(holding);
         ReadPacer pacer = new ReadPacer(context.clock(), answer);
         answer.handler(bytes -> handleBytes(attemptId, answer, pacer, bytes));
         answer.endHandler(v -> end(attemptId));
@@ -257,7 +261,7 @@
             recover(attemptId, "engine failed");
             return;
         }
-        BoundedBody.read(answer, context.clock())
+        BoundedBody.read(answer, context.clock(), context.answerMemory())
                 .onComplete(
                         body -> passStatus(attemptId, reply, answer, body),
                         e -> recover(attemptId, "answer cut off"));
@@ -304,7 +308,10 @@
         deliver(answer, pacer, ready);
         if (framer.tooLong()) {
             recover(attemptId, "event without end");
+            return;
         }
+        int used = framer.usedBytes();
+        unfinishedEvent.ifPresent(holding -> holding.resize(used));
     }
 
     private void deliver(HttpClientResponse answer, ReadPacer pacer, Buffer ready) {
@@ -450,6 +457,8 @@
     void release() {
         chain.ifPresent(c -> context.load().remove(c, chainFinder.tokens()));
         chain = Optional.empty();
+        unfinishedEvent.ifPresent(AnswerMemory.Holding::release);
+        unfinishedEvent = Optional.empty();
         stallDetector.remove(this);
     }
 
--- a/src/test/java/hyssopturn/node/RosterListenerTest.java
+++ b/src/test/java/hyssopturn/node/RosterListenerTest.java
@@ -11,6 +11,7 @@
 import hyssopturn.platform.PlatformAdapter;
 import hyssopturn.platform.PlatformSettings;
 import hyssopturn.port.KeyedLog;
+import hyssopturn.relay.AnswerMemory;
 import hyssopturn.standin.VirtualClock;
 import hyssopturn.trace.TraceEvent;
 import hyssopturn.trace.TraceLog;
@@ -113,6 +114,7 @@
                 null,
                 null,
                 clock,
+                new AnswerMemory(0),
                 new SimpleMeterRegistry());
     }
 
--- a/src/test/java/hyssopturn/platform/EndlessAnswersTest.java
+++ b/src/test/java/hyssopturn/platform/EndlessAnswersTest.java
@@ -3,10 +3,12 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import hyssopturn.model.LayerRange;
 import hyssopturn.port.InDoubtException;
+import hyssopturn.relay.AnswerMemory;
 import hyssopturn.standin.VirtualClock;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
@@ -19,8 +21,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 
@@ -58,6 +62,30 @@
         worker.closed().orTimeout(CLOSE_SECONDS, TimeUnit.SECONDS).join();
     }
 
+    /**
+     * Guards against endless answers that together exceed the memory of the process, which would
+     * end every other request with it.
+     */
+    @Nested
+    class ManyAtOnce {
+        private static final int CALLS = 40;
+
+        @ParameterizedTest
+        @CsvSource({"/book/a, more, false", "/once/a, data: more, true"})
+        void holdNoMoreThanTheMemoryForAnswers(String path, String repeated, boolean engine) {
+            worker("HEAD\\r\\n", repeated, engine ? OfAnEngine.ALL : Optional.empty());
+            CompletableFuture<List<RelayHarness.Answer>> answers =
+                    CompletableFuture.supplyAsync(() -> harness.callTogether(path, CALLS));
+            while (!answers.isDone()) {
+                assertThat(
+                        harness.heldAnswerBytes(),
+                        lessThanOrEqualTo(RelayHarness.ANSWER_MEMORY_BYTES));
+            }
+            answers.join().forEach(answer -> assertThat(answer.status(), equalTo(BAD_GATEWAY)));
+            assertThat(harness.heldAnswerBytes(), equalTo(0L));
+        }
+    }
+
     @Nested
     class OfAPlainWorker {
         @ParameterizedTest
@@ -123,6 +151,7 @@
                     new HttpCalls(
                             vertx.createHttpClient(),
                             new VirtualClock(0),
+                            new AnswerMemory(Long.MAX_VALUE),
                             new SimpleMeterRegistry(),
                             "engine");
             CompletionException failure =
--- a/src/test/java/hyssopturn/platform/HttpEngineControlTest.java
+++ b/src/test/java/hyssopturn/platform/HttpEngineControlTest.java
@@ -7,6 +7,7 @@
 
 import hyssopturn.model.Address;
 import hyssopturn.port.FailedException;
+import hyssopturn.relay.AnswerMemory;
 import hyssopturn.standin.VirtualClock;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
@@ -44,6 +45,7 @@
                 new HttpCalls(
                         vertx.createHttpClient(),
                         new VirtualClock(0),
+                        new AnswerMemory(Long.MAX_VALUE),
                         new SimpleMeterRegistry(),
                         "engine");
         return new HttpEngineControl(calls).stalled(new Address(HOST, port));
--- a/src/test/java/hyssopturn/platform/LogStoreClientTest.java
+++ b/src/test/java/hyssopturn/platform/LogStoreClientTest.java
@@ -16,6 +16,7 @@
 import hyssopturn.port.KeyedLog;
 import hyssopturn.port.RefusedException;
 import hyssopturn.port.TrimmedException;
+import hyssopturn.relay.AnswerMemory;
 import hyssopturn.standin.VirtualClock;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
@@ -71,6 +72,7 @@
                         new HttpCalls(
                                 vertx.createHttpClient(),
                                 new VirtualClock(0),
+                                new AnswerMemory(Long.MAX_VALUE),
                                 new SimpleMeterRegistry(),
                                 "store"),
                         new Address(HOST, port));
--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -13,6 +13,7 @@
 import hyssopturn.port.Liveness;
 import hyssopturn.quarantine.PromptGuard;
 import hyssopturn.quarantine.PromptQuarantine;
+import hyssopturn.relay.AnswerMemory;
 import hyssopturn.relay.Attempt;
 import hyssopturn.relay.CallHeaders;
 import hyssopturn.relay.EndpointReply;
@@ -64,6 +65,9 @@
     /** Stall timeout, long enough that only engines that have stalled for good are queried. */
     private static final Duration STALL_TIMEOUT = Duration.ofMillis(400);
 
+    /** Memory for incomplete answers, in bytes. */
+    static final long ANSWER_MEMORY_BYTES = 16_000_000;
+
     /** Connections to each server, of callers and of the relay. */
     private static final int MAX_CONNECTIONS = 200;
 
@@ -101,6 +105,7 @@
                     new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
     private final RoutingState knowledge = new RoutingState();
     private final EngineLoad load = new EngineLoad(loadNoise(), 10);
+    private final AnswerMemory answerMemory = new AnswerMemory(ANSWER_MEMORY_BYTES);
     private final RetryBudget retryBudget =
             new RetryBudget(0.2, Duration.ofSeconds(10).toNanos(), 100, 1);
     private final List<String> requestIds = Collections.synchronizedList(new ArrayList<>());
@@ -147,6 +152,7 @@
                                         failedProbes.getOrDefault(address, Liveness.LISTENS)),
                         new LoopLag(),
                         endpoint -> {},
+                        answerMemory,
                         new PromptGuard(new PromptQuarantine(0), clock, trace, report -> {}),
                         trace,
                         new SimpleMeterRegistry(),
@@ -162,7 +168,12 @@
                 new Relay(
                         parts,
                         new HttpEngineControl(
-                                new HttpCalls(client, clock, new SimpleMeterRegistry(), "engine")));
+                                new HttpCalls(
+                                        client,
+                                        clock,
+                                        answerMemory,
+                                        new SimpleMeterRegistry(),
+                                        "engine")));
         relay.start();
         HttpServer server = vertx.createHttpServer().requestHandler(relay::handle);
         port = server.listen(0, HOST).await().actualPort();
@@ -328,6 +339,13 @@
         return tokens.join();
     }
 
+    /** Returns the size of all incomplete answers that the relay holds, in bytes. */
+    long heldAnswerBytes() {
+        CompletableFuture<Long> bytes = new CompletableFuture<>();
+        onLoop(() -> bytes.complete(answerMemory.heldBytes()));
+        return bytes.join();
+    }
+
     /** Uses up the retry budgets of both services. */
     void exhaustRetries() {
         onLoop(() -> List.of("writers", "records").forEach(this::exhaustRetries));
--- a/src/test/java/hyssopturn/relay/EndpointChecksTest.java
+++ b/src/test/java/hyssopturn/relay/EndpointChecksTest.java
@@ -78,6 +78,7 @@
                 this::probe,
                 loopLag,
                 engine -> {},
+                new AnswerMemory(0),
                 new PromptGuard(new PromptQuarantine(0), clock, trace, report -> {}),
                 trace,
                 new SimpleMeterRegistry(),
