A stopping node refuses requests before it stops waiting for them, whatever the grace period

Cause: new requests were served for a fixed 2.8 s after the signal. The period in which open connections are served is derived from the grace period, so with a short one (GraceS 3: 1.25 s served, answers given up at 2.25 s) a request whose end arrived later was still sent to an endpoint, shortly before its answer was given up.

Change: the time for which requests are accepted is derived from the same figure, 0.2 s less. With GraceS 8 it is 2.8 s as before. A later request gets 503 with Retry-After and has not run.

Test: DrainTest.requestWhoseEndArrivesAfterTheServingPeriodIsRefused; before: 200 after the serving period (expected 503).

--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -58,6 +58,9 @@
     /** Minimum interval between reads of a stream, however short the platform's bounds are. */
     private static final Duration MIN_READ_INTERVAL = Duration.ofMillis(250);
 
+    /** How long before idle connections are closed new requests are refused. */
+    private static final Duration ACCEPT_MARGIN = Duration.ofMillis(200);
+
     /** Part of the drain's maximum time that is left for sending the last answers. */
     private static final Duration LAST_ANSWERS_TIME = Duration.ofMillis(250);
 
@@ -364,7 +367,7 @@
         vertx.runOnContext(
                 v -> {
                     trace.record(new TraceEvent.Stopping("draining", relay.running()));
-                    relay.drain();
+                    relay.drain(serving.minus(ACCEPT_MARGIN));
                     layers.stop();
                     clock.after(serving, () -> closeCallers(maximum.minus(serving), done));
                     clock.after(maximum.minus(LAST_ANSWERS_TIME), relay::giveUpBeforeExit);
--- a/src/main/java/hyssopturn/relay/Relay.java
+++ b/src/main/java/hyssopturn/relay/Relay.java
@@ -28,9 +28,6 @@
 
     private static final Duration STARTUP_CHECK_INTERVAL = Duration.ofMillis(20);
 
-    /** How long after the start of a drain new requests are still served. */
-    private static final Duration DRAIN_ACCEPT_PERIOD = Duration.ofMillis(2_800);
-
     private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
     private static final int TOO_LARGE = 413;
@@ -40,7 +37,8 @@
     private final RelayContext context;
     private final StallDetector stallDetector;
     private final ServiceLoad serviceLoad = new ServiceLoad();
-    private Optional<Long> drainStartNanos = Optional.empty();
+    private boolean draining;
+    private long acceptUntilNanos;
     private final Set<Call> calls = new HashSet<>();
     private int running;
 
@@ -62,10 +60,13 @@
 
     /**
      * Starts to drain: each connection is closed after its next answer, and new requests are
-     * refused a few seconds later.
+     * refused after some time.
+     *
+     * @param accepting time during which new requests are still served
      */
-    public void drain() {
-        drainStartNanos = Optional.of(context.clock().nanos());
+    public void drain(Duration accepting) {
+        draining = true;
+        acceptUntilNanos = context.clock().nanos() + accepting.toNanos();
         calls.forEach(Call::announceClose);
     }
 
@@ -94,7 +95,7 @@
      * @return true while the node can serve requests and is not draining
      */
     public boolean ready() {
-        return context.routingState().complete() && drainStartNanos.isEmpty();
+        return context.routingState().complete() && !draining;
     }
 
     /**
@@ -111,7 +112,7 @@
     }
 
     private void announceCloseIfDraining(HttpServerRequest request) {
-        if (drainStartNanos.isPresent()) {
+        if (draining) {
             request.response().putHeader("Connection", "close");
         }
     }
@@ -194,9 +195,7 @@
     }
 
     private boolean drainPeriodOver(long now) {
-        return drainStartNanos
-                .filter(start -> now - start > DRAIN_ACCEPT_PERIOD.toNanos())
-                .isPresent();
+        return draining && now > acceptUntilNanos;
     }
 
     /**
--- a/src/test/java/hyssopturn/platform/DrainTest.java
+++ b/src/test/java/hyssopturn/platform/DrainTest.java
@@ -20,6 +20,7 @@
     private static final int SLOW_MILLIS = 2_500;
     private static final int OK = 200;
     private static final int BAD_GATEWAY = 502;
+    private static final int UNAVAILABLE = 503;
 
     private final ScriptedPlatform platform = new ScriptedPlatform(Configs.version(1), this::serve);
 
@@ -96,6 +97,25 @@
         }
     }
 
+    /**
+     * Guards against requests that are taken late in a short grace period and then cut off, though
+     * they could have been sent to another node.
+     */
+    @Test
+    void requestWhoseEndArrivesAfterTheServingPeriodIsRefused() throws IOException {
+        try (KeptConnection caller = new KeptConnection(platform.front())) {
+            caller.awaitServed("/look/x");
+            String request = caller.request("POST", "/book/slow", "", "the caller's body");
+            caller.sendRaw(request.substring(0, request.length() / 2));
+            caller.pause(RECEIVE_MILLIS);
+            CompletableFuture<Void> drained = CompletableFuture.runAsync(platform::drain);
+            caller.pause(ScriptedPlatform.DRAIN_MINIMUM.toMillis());
+            caller.sendRaw(request.substring(request.length() / 2));
+            assertThat(caller.read().status(), equalTo(UNAVAILABLE));
+            drained.join();
+        }
+    }
+
     @Test
     void requestThatIsStillRunningAtTheEndOfTheGracePeriodIsAnswered() throws IOException {
         try (KeptConnection caller = new KeptConnection(platform.front())) {
--- a/src/test/java/hyssopturn/platform/ScriptedPlatform.java
+++ b/src/test/java/hyssopturn/platform/ScriptedPlatform.java
@@ -32,7 +32,7 @@
  */
 final class ScriptedPlatform implements AutoCloseable {
     private static final String HOST = "127.0.0.1";
-    private static final Duration DRAIN_MINIMUM = Duration.ofSeconds(1);
+    static final Duration DRAIN_MINIMUM = Duration.ofSeconds(1);
     private static final Duration DRAIN_MAXIMUM = Duration.ofSeconds(6);
 
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
