Test: an answer that ends at any byte before its end is no success

Not found here: plain unsafe requests, streams that may and may not be resumed, and reports of engines, each with a length, in chunks and without a length, broken off at every byte.

--- a/src/test/java/hyssopturn/platform/RawServer.java
+++ b/src/test/java/hyssopturn/platform/RawServer.java
@@ -20,7 +20,7 @@
     private static final long RESET_DELAY_MILLIS = 100;
 
     private final Vertx vertx;
-    private final String answer;
+    private volatile String answer;
     private final End end;
     private final Address address;
     private final List<String> requests = Collections.synchronizedList(new ArrayList<>());
@@ -71,6 +71,11 @@
         return address;
     }
 
+    /** Sets the bytes of the next answers. */
+    void answer(String next) {
+        answer = next;
+    }
+
     /** Returns the number of requests. */
     int requestCount() {
         return requests.size();
