Endpoints that announce their shutdown or ask for a pause in their answers

Cause: no class read either header. What an endpoint says of itself was known from the list alone.

The roster keeps it by id and start time (Availability): a new start begins afresh, the list does not overrule it. An endpoint that shuts down counts as leaving; it serves what no other one can until DrainMs is over since its first such answer. A paused one gets no request, check, report or order, is neither suspected nor replaced, and gets its share back over up to a second. An engine named in At-Server is paused too. If all endpoints are paused, callers get 503 at once with a Retry-After of the first end plus up to 0.5 s.

--- a/src/main/java/hyssopturn/chain/LayerController.java
+++ b/src/main/java/hyssopturn/chain/LayerController.java
@@ -208,6 +208,9 @@
     }
 
     private void send(Endpoint engine, LayerRange range, long now) {
+        if (roster.pauseLeft(engine, now).isPresent()) {
+            return;
+        }
         long token = fence.orElseThrow();
         long deadline = now + ORDER_TIMEOUT.toNanos();
         pendingOrders.put(engine.id(), new PendingOrder(range, engine.incarnation(), deadline));
--- a/src/main/java/hyssopturn/fleet/Roster.java
+++ b/src/main/java/hyssopturn/fleet/Roster.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,10 +17,10 @@
  * The endpoints of the platform's list, and which of them are usable now.
  *
  * <p>An endpoint is usable while the platform lists it, it has not announced that it is leaving,
- * and it is not suspected of having failed since its last heartbeat. While the platform's list
- * cannot be read, and for a short time afterwards, an endpoint whose entry is removed stays usable:
- * its heartbeats may have been lost although the endpoint is alive. Not thread-safe; owned by one
- * event loop.
+ * has not asked for a pause, and is not suspected of having failed since its last heartbeat. While
+ * the platform's list cannot be read, and for a short time afterwards, an endpoint whose entry is
+ * removed stays usable: its heartbeats may have been lost although the endpoint is alive. Not
+ * thread-safe; owned by one event loop.
  */
 public final class Roster {
     /**
@@ -44,6 +45,7 @@
 
     private final Map<InstanceId, Entry> entries = new HashMap<>();
     private long outageEndNanos = Long.MIN_VALUE;
+    private long lastRampEndNanos = Long.MIN_VALUE;
 
     /** Creates an empty roster. */
     public Roster() {}
@@ -67,6 +69,7 @@
         private Optional<Long> removedNanos = Optional.empty();
         private Optional<Long> unreadableNanos = Optional.empty();
         private boolean leaving;
+        private final Availability availability = new Availability();
 
         Entry(Endpoint endpoint, long nowNanos) {
             this.endpoint = endpoint;
@@ -251,6 +254,108 @@
         }
     }
 
+    /**
+     * Records that an endpoint said in an answer that it is shutting down. From then on it counts
+     * as leaving, whatever the list says.
+     *
+     * @param endpoint the endpoint as it was used
+     * @param nowNanos time now
+     * @return true if it had not said so before
+     */
+    public boolean announceShutdown(Endpoint endpoint, long nowNanos) {
+        Optional<Entry> entry = find(endpoint);
+        entry.ifPresent(e -> e.leaving = true);
+        return entry.filter(e -> e.availability.announceShutdown(nowNanos)).isPresent();
+    }
+
+    /**
+     * Records that an endpoint asked in an answer for a pause, in which it gets nothing.
+     *
+     * @param endpoint the endpoint as it was used
+     * @param length time from now on
+     * @param nowNanos time now
+     * @return true if it was not paused before
+     */
+    public boolean pause(Endpoint endpoint, Duration length, long nowNanos) {
+        long rampEnd = nowNanos + length.plus(Availability.MAX_RAMP).toNanos();
+        lastRampEndNanos = Math.max(lastRampEndNanos, rampEnd);
+        return find(endpoint).filter(e -> e.availability.pause(length, nowNanos)).isPresent();
+    }
+
+    /**
+     * Returns the time until an endpoint's pause ends.
+     *
+     * @param endpoint the endpoint
+     * @param nowNanos time now
+     * @return the time left, empty if the endpoint is not paused
+     */
+    public Optional<Duration> pauseLeft(Endpoint endpoint, long nowNanos) {
+        return find(endpoint).flatMap(e -> e.availability.pauseLeft(nowNanos));
+    }
+
+    /**
+     * Returns the time until the first pause of a service's endpoints ends.
+     *
+     * @param service name of the service
+     * @param nowNanos time now
+     * @return the time left, empty if no endpoint is paused
+     */
+    public Optional<Duration> firstPauseLeft(String service, long nowNanos) {
+        return entries.values().stream()
+                .filter(e -> e.endpoint.service().equals(service) && !e.leaving)
+                .flatMap(e -> e.availability.pauseLeft(nowNanos).stream())
+                .min(Comparator.naturalOrder());
+    }
+
+    /**
+     * Returns the part of its usual requests that an endpoint should get now.
+     *
+     * @param endpoint the endpoint
+     * @param nowNanos time now
+     * @return 0 during a pause, growing to 1 after its end
+     */
+    public double share(Endpoint endpoint, long nowNanos) {
+        if (nowNanos >= lastRampEndNanos) {
+            return 1;
+        }
+        return find(endpoint).map(e -> e.availability.share(nowNanos)).orElse(1.0);
+    }
+
+    /**
+     * Returns whether the list holds an endpoint, as it was started then.
+     *
+     * @param endpoint the endpoint
+     * @return true if it is listed
+     */
+    public boolean lists(Endpoint endpoint) {
+        return find(endpoint).filter(e -> e.removedNanos.isEmpty()).isPresent();
+    }
+
+    private Optional<Entry> find(Endpoint endpoint) {
+        return Optional.ofNullable(entries.get(endpoint.id()))
+                .filter(e -> e.endpoint.incarnation() == endpoint.incarnation());
+    }
+
+    /**
+     * Lists the endpoints of a service that announced their shutdown in an answer a short time ago.
+     * They still serve requests that no other endpoint can serve.
+     *
+     * @param service name of the service
+     * @param period how long after the announcement an endpoint still serves
+     * @param nowNanos time now
+     * @return the endpoints, in no particular order
+     */
+    public List<Endpoint> shuttingDown(String service, Duration period, long nowNanos) {
+        return list(
+                e ->
+                        e.endpoint.service().equals(service)
+                                && e.availability.shuttingDownSinceLessThan(period, nowNanos)
+                                && e.removedNanos.isEmpty()
+                                && !e.endpoint.leaving()
+                                && !e.availability.paused(nowNanos)
+                                && !suspected(e, nowNanos));
+    }
+
     /**
      * Returns whether an endpoint is leaving or has been removed from the list.
      *
@@ -335,6 +440,9 @@
         if (entry.leaving || entry.endpoint.leaving() || entry.unreadableNanos.isPresent()) {
             return false;
         }
+        if (entry.availability.paused(nowNanos)) {
+            return false;
+        }
         return entry.removedNanos.isEmpty() || withinGrace(entry, nowNanos);
     }
 
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -13,6 +13,7 @@
 import hyssopturn.quarantine.PromptGuard;
 import hyssopturn.quarantine.PromptQuarantine;
 import hyssopturn.relay.AnswerMemory;
+import hyssopturn.relay.EndpointNotices;
 import hyssopturn.relay.LoopLag;
 import hyssopturn.relay.Relay;
 import hyssopturn.relay.RelayContext;
@@ -133,6 +134,7 @@
                         vertx, ENDPOINT_CONNECTIONS, settings.connectTimeout());
         AnswerMemory answerMemory =
                 new AnswerMemory(Runtime.getRuntime().maxMemory() / ANSWER_HEAP_DIVISOR);
+        EndpointNotices notices = new EndpointNotices(knowledge.roster(), clock, trace, meters);
         PlatformAdapter adapter =
                 new PlatformAdapter(
                         platform,
@@ -141,6 +143,7 @@
                         endpointClient,
                         clock,
                         answerMemory,
+                        notices,
                         meters);
         FaultReporter faultReporter =
                 new FaultReporter(
@@ -163,6 +166,7 @@
                                 new LoopLag(),
                                 faultReporter,
                                 answerMemory,
+                                notices,
                                 prompts,
                                 trace,
                                 meters,
@@ -276,6 +280,7 @@
                 settings.gapCheck(),
                 settings.firstEventStall(),
                 settings.gapStall(),
+                platform.leaveNotice(),
                 settings.retryAfter());
     }
 
--- a/src/main/java/hyssopturn/platform/HttpCalls.java
+++ b/src/main/java/hyssopturn/platform/HttpCalls.java
@@ -8,6 +8,7 @@
 import hyssopturn.relay.BoundedBody;
 
 import io.micrometer.core.instrument.MeterRegistry;
+import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
@@ -51,8 +52,8 @@
         this.callee = callee;
     }
 
-    /** Status and body of an answer. */
-    record Answer(int status, Buffer body) {}
+    /** Status, headers and body of an answer. */
+    record Answer(int status, MultiMap headers, Buffer body) {}
 
     /**
      * Sends a call and reads its answer. The call fails after the timeout has passed without a
@@ -130,7 +131,12 @@
                 .compose(
                         response ->
                                 BoundedBody.read(response, clock, memory)
-                                        .map(bytes -> new Answer(response.statusCode(), bytes)))
+                                        .map(
+                                                bytes ->
+                                                        new Answer(
+                                                                response.statusCode(),
+                                                                response.headers(),
+                                                                bytes)))
                 .onComplete(
                         result::complete,
                         e ->
--- a/src/main/java/hyssopturn/platform/HttpEngineControl.java
+++ b/src/main/java/hyssopturn/platform/HttpEngineControl.java
@@ -9,6 +9,7 @@
 import hyssopturn.model.LayerRange;
 import hyssopturn.port.EngineControl;
 import hyssopturn.port.FailedException;
+import hyssopturn.relay.EndpointNotices;
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
@@ -37,9 +38,18 @@
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final HttpCalls calls;
+    private final PlatformHeaders headers;
+    private final EndpointNotices notices;
 
-    HttpEngineControl(HttpCalls calls) {
+    HttpEngineControl(HttpCalls calls, PlatformHeaders headers, EndpointNotices notices) {
         this.calls = calls;
+        this.headers = headers;
+        this.notices = notices;
+    }
+
+    private HttpCalls.Answer noted(Address engine, HttpCalls.Answer answer) {
+        notices.record(engine, headers.decodeNotice(answer.status(), answer.headers()));
+        return answer;
     }
 
     @Override
@@ -51,6 +61,7 @@
                         Map.of(),
                         Buffer.buffer(),
                         REPORT_TIMEOUT)
+                .thenApply(answer -> noted(engine, answer))
                 .thenApply(HttpEngineControl::stalled);
     }
 
@@ -115,8 +126,9 @@
 
     private CompletableFuture<HttpCalls.Answer> order(
             Address engine, InstanceId id, JsonObject order, Duration timeout) {
-        Map<String, String> headers =
+        Map<String, String> fields =
                 Map.of("Content-Type", "application/json", EXPECTED_INSTANCE, id.value());
-        return calls.call(HttpMethod.POST, engine, "/v1/order", headers, order.toBuffer(), timeout);
+        return calls.call(HttpMethod.POST, engine, "/v1/order", fields, order.toBuffer(), timeout)
+                .thenApply(answer -> noted(engine, answer));
     }
 }
--- a/src/main/java/hyssopturn/platform/PlatformAdapter.java
+++ b/src/main/java/hyssopturn/platform/PlatformAdapter.java
@@ -7,6 +7,7 @@
 import hyssopturn.port.EngineControl;
 import hyssopturn.port.KeyedLog;
 import hyssopturn.relay.AnswerMemory;
+import hyssopturn.relay.EndpointNotices;
 import hyssopturn.relay.HeaderCodec;
 
 import io.micrometer.core.instrument.MeterRegistry;
@@ -18,6 +19,7 @@
 public final class PlatformAdapter {
     private final LogStoreClient store;
     private final GroupDuties duties;
+    private final PlatformHeaders headers;
     private final HttpEngineControl engines;
     private final HeartbeatDecoder announcements = new HeartbeatDecoder();
 
@@ -29,6 +31,7 @@
      * @param engineClient HTTP client for engines
      * @param clock clock whose tasks run on the event loop of the clients
      * @param memory limits the answers that are read at the same time
+     * @param notices receives what endpoints say about themselves
      * @param meters registry for the counters of calls
      */
     public PlatformAdapter(
@@ -37,14 +40,19 @@
             HttpClient engineClient,
             Clock clock,
             AnswerMemory memory,
+            EndpointNotices notices,
             MeterRegistry meters) {
         store =
                 new LogStoreClient(
                         new HttpCalls(storeClient, clock, memory, meters, "store"),
                         settings.store());
         duties = new GroupDuties(store, settings.node(), settings.partitions());
+        headers = new PlatformHeaders(meters);
         engines =
-                new HttpEngineControl(new HttpCalls(engineClient, clock, memory, meters, "engine"));
+                new HttpEngineControl(
+                        new HttpCalls(engineClient, clock, memory, meters, "engine"),
+                        headers,
+                        notices);
     }
 
     /**
@@ -80,7 +88,7 @@
      * @return the codec
      */
     public HeaderCodec headers() {
-        return new PlatformHeaders();
+        return headers;
     }
 
     /**
--- a/src/main/java/hyssopturn/platform/PlatformHeaders.java
+++ b/src/main/java/hyssopturn/platform/PlatformHeaders.java
@@ -6,10 +6,12 @@
 import hyssopturn.model.PromptPart;
 import hyssopturn.relay.Attempt;
 import hyssopturn.relay.CallHeaders;
+import hyssopturn.relay.EndpointNotice;
 import hyssopturn.relay.EndpointReply;
 import hyssopturn.relay.HeaderCodec;
 import hyssopturn.relay.HopByHopHeaders;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import io.vertx.core.MultiMap;
 
 import java.time.Duration;
@@ -34,10 +36,17 @@
     private static final String SIGNATURE = "Hyssopturn-Server-Seal";
     private static final String NOT_EXECUTED = "Hyssopturn-Not-Executed";
     private static final String FAULT_ADDRESS = "At-Server";
+    private static final String SHUTTING_DOWN = "Server-Leaving";
+    private static final String RETRY_AFTER = "Retry-After";
     private static final String LAST_EVENT_ID = "Last-Event-Id";
     private static final String HOST = "Host";
     private static final int CLIENT_ERROR = 400;
     private static final int MISDIRECTED = 421;
+    private static final int UNAVAILABLE = 503;
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    /** Longest pause that an endpoint can ask for, in milliseconds; a longer one is shortened. */
+    private static final double MAX_PAUSE_MILLIS = 86_400_000;
 
     /** Limit of decoded counts, so that sums and products of them do not overflow. */
     private static final long MAX_COUNT = 1_000_000_000;
@@ -48,6 +57,17 @@
     /** Maximum length of the id of a decoded part, in characters. */
     private static final int MAX_PART_ID_LENGTH = 64;
 
+    private final MeterRegistry meters;
+
+    /**
+     * Creates a codec.
+     *
+     * @param meters registry for the counter of malformed values
+     */
+    PlatformHeaders(MeterRegistry meters) {
+        this.meters = meters;
+    }
+
     @Override
     public CallHeaders decode(MultiMap headers) {
         String[] tokens = Optional.ofNullable(headers.get(TOKEN_COUNTS)).orElse("").split(",", -1);
@@ -124,7 +144,38 @@
                 status == MISDIRECTED || (status >= CLIENT_ERROR && headers.contains(NOT_EXECUTED)),
                 headers.contains(SIGNATURE),
                 Optional.ofNullable(headers.get(ATTEMPT_ID)),
-                Optional.ofNullable(headers.get(FAULT_ADDRESS)).flatMap(PlatformHeaders::address));
+                Optional.ofNullable(headers.get(FAULT_ADDRESS)).flatMap(PlatformHeaders::address),
+                decodeNotice(status, headers));
+    }
+
+    /**
+     * Decodes what an endpoint says about itself. An answer with status 421 may come from another
+     * endpoint that has taken over the address, so it says nothing.
+     */
+    EndpointNotice decodeNotice(int status, MultiMap headers) {
+        if (status == MISDIRECTED) {
+            return EndpointNotice.NONE;
+        }
+        boolean shuttingDown = "1".equals(headers.get(SHUTTING_DOWN));
+        Optional<Duration> pause =
+                status == UNAVAILABLE
+                        ? Optional.ofNullable(headers.get(RETRY_AFTER)).flatMap(this::pause)
+                        : Optional.empty();
+        return new EndpointNotice(shuttingDown, pause);
+    }
+
+    private Optional<Duration> pause(String text) {
+        try {
+            double seconds = Double.parseDouble(text.strip());
+            if (Double.isFinite(seconds) && seconds >= 0) {
+                long millis = (long) Math.min(seconds * MILLIS_PER_SECOND, MAX_PAUSE_MILLIS);
+                return Optional.of(Duration.ofMillis(millis)).filter(Duration::isPositive);
+            }
+        } catch (NumberFormatException e) {
+            // counted below
+        }
+        meters.counter("hyssopturn.endpoint.notices", "notice", "malformed").increment();
+        return Optional.empty();
     }
 
     private static Optional<Address> address(String text) {
--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -5,6 +5,7 @@
 import hyssopturn.catalog.Account;
 import hyssopturn.fleet.Endpoint;
 import hyssopturn.fleet.Evidence;
+import hyssopturn.fleet.Roster;
 import hyssopturn.model.InstanceId;
 import hyssopturn.port.Clock;
 import hyssopturn.trace.TraceEvent;
@@ -40,6 +41,9 @@
     /** Maximum number of times that a request is sent, including repeats to the same endpoint. */
     private static final int MAX_ATTEMPTS = 4;
 
+    /** Time over which callers are spread that return when a pause ends. */
+    private static final Duration RETRY_SPREAD = Duration.ofMillis(500);
+
     private static final String RETRY = "retry";
     private static final String NODE_STOPS = "node stops";
     private static final long NANOS_PER_MILLI = 1_000_000;
@@ -188,8 +192,7 @@
      * shows that the endpoint has failed, a timeout is only a reason to check it.
      */
     final void connectFailed(Endpoint endpoint, Throwable error) {
-        attempts--;
-        attemptedEndpoints.remove(endpoint.id());
+        withdraw(endpoint);
         excluded.add(endpoint.id());
         if (!timedOut(error)) {
             context.routingState()
@@ -199,6 +202,17 @@
         checks.check(endpoint);
     }
 
+    /** Returns whether an endpoint has asked for a pause since it was chosen. */
+    final boolean paused(Endpoint endpoint) {
+        return context.routingState().roster().pauseLeft(endpoint, now()).isPresent();
+    }
+
+    /** Records that nothing was sent to a chosen endpoint, which does not count as an attempt. */
+    final void withdraw(Endpoint endpoint) {
+        attempts--;
+        attemptedEndpoints.remove(endpoint.id());
+    }
+
     private static boolean timedOut(Throwable error) {
         return error instanceof TimeoutException || error instanceof ConnectTimeoutException;
     }
@@ -337,7 +351,25 @@
 
     /** Refuses a request that no endpoint may have run; the caller may retry it. */
     final void refuse(String cause) {
-        refuse(cause, context.settings().retryAfter());
+        refuse(cause, retryAfter());
+    }
+
+    /**
+     * Returns the time after which the caller should retry: when the first pause of an endpoint
+     * ends if all are paused, spread so that callers do not return together.
+     */
+    private Duration retryAfter() {
+        Roster roster = context.routingState().roster();
+        if (!roster.usable(admitted.service(), now()).isEmpty()) {
+            return context.settings().retryAfter();
+        }
+        return roster.firstPauseLeft(admitted.service(), now())
+                .map(left -> left.plus(spread()))
+                .orElse(context.settings().retryAfter());
+    }
+
+    private Duration spread() {
+        return Duration.ofNanos((long) (RETRY_SPREAD.toNanos() * context.random().nextDouble()));
     }
 
     private void refuse(String cause, Duration retryAfter) {
@@ -351,7 +383,7 @@
      * run, otherwise a gateway error, since the outcome is unknown.
      */
     final void giveUp(String cause) {
-        giveUp(cause, context.settings().retryAfter());
+        giveUp(cause, retryAfter());
     }
 
     /** Ends a failed request, and names the time after which the caller may retry it. */
--- a/src/main/java/hyssopturn/relay/ChainFinder.java
+++ b/src/main/java/hyssopturn/relay/ChainFinder.java
@@ -11,6 +11,7 @@
 import hyssopturn.port.EngineControl;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -69,16 +70,40 @@
         return search(roster().usableOrSuspected(service, now()), first, excluded);
     }
 
-    /** Finds a chain of engines that have not refused a request recently. */
+    /**
+     * Finds a chain for a request that would be refused without one; it may include engines that
+     * announced their shutdown a short time ago.
+     */
+    Optional<EngineChain> findShuttingDown(Predicate<Endpoint> first, Set<InstanceId> excluded) {
+        List<Endpoint> leaving =
+                roster().shuttingDown(service, context.settings().shutdownPeriod(), now());
+        if (leaving.isEmpty()) {
+            return Optional.empty();
+        }
+        List<Endpoint> engines = new ArrayList<>(usable());
+        engines.addAll(leaving);
+        return search(engines, first, excluded);
+    }
+
+    /**
+     * Finds a chain of engines that have not refused a request recently. Engines whose pause has
+     * just ended are considered for part of the requests.
+     */
     Optional<EngineChain> findWithCapacity(Predicate<Endpoint> first, Set<InstanceId> excluded) {
         long now = now();
         List<Endpoint> withCapacity =
                 usable().stream()
                         .filter(e -> !context.load().recentlyRefused(e.id(), now))
+                        .filter(e -> drawnForUse(e, now))
                         .toList();
         return search(withCapacity, first, excluded);
     }
 
+    private boolean drawnForUse(Endpoint engine, long now) {
+        double share = roster().share(engine, now);
+        return share >= 1 || context.random().nextDouble() < share;
+    }
+
     private Optional<EngineChain> search(
             List<Endpoint> engines, Predicate<Endpoint> first, Set<InstanceId> excluded) {
         long now = now();
--- a/src/main/java/hyssopturn/relay/ChainMoves.java
+++ b/src/main/java/hyssopturn/relay/ChainMoves.java
@@ -161,6 +161,9 @@
      * its layers while the stream continues. Otherwise the chain stays as it is.
      */
     void replaceDeparting(Endpoint engine, EngineControl engines) {
+        if (firstPaused()) {
+            return;
+        }
         if (!call.excluded.add(engine.id())) {
             return;
         }
@@ -188,7 +191,18 @@
         }
     }
 
+    /** Returns whether the first engine, which carries out reroute orders, wants none now. */
+    private boolean firstPaused() {
+        return context.routingState()
+                .roster()
+                .pauseLeft(current().first().engine(), context.clock().nanos())
+                .isPresent();
+    }
+
     private Optional<EngineChain> findDetour(Endpoint engine) {
+        if (firstPaused()) {
+            return Optional.empty();
+        }
         return chainFinder.findDetour(current(), engine, call.excluded);
     }
 
--- a/src/main/java/hyssopturn/relay/EndpointChecks.java
+++ b/src/main/java/hyssopturn/relay/EndpointChecks.java
@@ -173,8 +173,15 @@
         }
     }
 
-    /** Probes an endpoint; a failure that a delay of the event loop may explain is unknown. */
+    /**
+     * Probes an endpoint; a failure that a delay of the event loop may explain is unknown, and so
+     * is the state of an endpoint that asked for a pause.
+     */
     private void probe(Endpoint endpoint, Consumer<Liveness> handler) {
+        if (roster().pauseLeft(endpoint, context.clock().nanos()).isPresent()) {
+            handler.accept(Liveness.UNKNOWN);
+            return;
+        }
         context.liveness()
                 .probe(endpoint.address(), reference(endpoint))
                 .thenAccept(
--- a/src/main/java/hyssopturn/relay/EndpointReply.java
+++ b/src/main/java/hyssopturn/relay/EndpointReply.java
@@ -13,13 +13,15 @@
  * @param signed true if the answer has the endpoint's signature header
  * @param requestId id of the request that is answered, empty if the answer has none
  * @param failedEngine address of the engine that made the chain fail, empty if the answer has none
+ * @param notice what the endpoint says about itself
  */
 public record EndpointReply(
         int status,
         boolean notRun,
         boolean signed,
         Optional<String> requestId,
-        Optional<Address> failedEngine) {
+        Optional<Address> failedEngine,
+        EndpointNotice notice) {
     private static final int SUCCESS_LOW = 200;
     private static final int SUCCESS_HIGH = 299;
     private static final int SERVER_ERROR = 500;
--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -92,13 +92,28 @@
     }
 
     /**
-     * Chooses the endpoint with the fewest requests of this node, preferably in its own zone. If
-     * there is no other, it may be one that only other nodes suspect.
+     * Chooses the endpoint with the fewest requests of this node, preferably in its own zone. One
+     * whose pause has just ended is considered for part of the requests. If there is no other, it
+     * may be one that only other nodes suspect, or that announced its shutdown a short time ago.
      */
     private Optional<Endpoint> choose() {
         Roster roster = context.routingState().roster();
-        return leastLoaded(candidates())
-                .or(() -> leastLoaded(allowed(roster.usableOrReported(admitted.service(), now()))));
+        String service = admitted.service();
+        Duration shutdownPeriod = context.settings().shutdownPeriod();
+        return leastLoaded(candidates().filter(this::drawnForUse))
+                .or(() -> leastLoaded(candidates()))
+                .or(() -> leastLoaded(allowed(roster.usableOrReported(service, now()))))
+                .or(
+                        () ->
+                                leastLoaded(
+                                        allowed(
+                                                roster.shuttingDown(
+                                                        service, shutdownPeriod, now()))));
+    }
+
+    private boolean drawnForUse(Endpoint endpoint) {
+        double share = context.routingState().roster().share(endpoint, now());
+        return share >= 1 || context.random().nextDouble() < share;
     }
 
     private Optional<Endpoint> leastLoaded(Stream<Endpoint> endpoints) {
@@ -135,6 +150,13 @@
             opened.reset();
             return;
         }
+        if (paused(attempt.endpoint())) {
+            opened.reset();
+            remove(attempt);
+            withdraw(attempt.endpoint());
+            attempt();
+            return;
+        }
         Running sent = attempt.opened(opened);
         running.put(sent.id(), sent);
         markSending();
@@ -200,6 +222,7 @@
         }
         EndpointReply reply =
                 context.headerCodec().decodeReply(answer.statusCode(), answer.headers());
+        context.notices().record(attempt.endpoint(), reply);
         if (reply.refuses(admitted.headers().id())) {
             // a later attempt may have run, whatever an earlier one says of itself
             if (attempt.id() == lastAttemptId) {
--- a/src/main/java/hyssopturn/relay/RelayContext.java
+++ b/src/main/java/hyssopturn/relay/RelayContext.java
@@ -31,6 +31,7 @@
  * @param faultReports receives engines that do not accept connections or that another engine waits
  *     for
  * @param answerMemory limits the incomplete answers that the node holds
+ * @param notices receives what endpoints say about themselves
  * @param prompts parts of prompts that make engines crash
  * @param trace structured log
  * @param meters registry of counters and timers
@@ -49,6 +50,7 @@
         LoopLag loopLag,
         Consumer<Endpoint> faultReports,
         AnswerMemory answerMemory,
+        EndpointNotices notices,
         PromptGuard prompts,
         TraceLog trace,
         MeterRegistry meters,
--- a/src/main/java/hyssopturn/relay/RelaySettings.java
+++ b/src/main/java/hyssopturn/relay/RelaySettings.java
@@ -15,6 +15,8 @@
  *     cause of the stall
  * @param gapStall time without a further event after which the first engine is queried for the
  *     cause of the stall
+ * @param shutdownPeriod how long after an endpoint announced its shutdown it still serves requests
+ *     that no other one can serve
  * @param retryAfter time after which a caller should retry a request that was refused
  */
 public record RelaySettings(
@@ -24,4 +26,5 @@
         Duration gapCheck,
         Duration firstEventStall,
         Duration gapStall,
+        Duration shutdownPeriod,
         Duration retryAfter) {}
--- a/src/main/java/hyssopturn/relay/StallDetector.java
+++ b/src/main/java/hyssopturn/relay/StallDetector.java
@@ -157,6 +157,9 @@
     }
 
     private void queryStall(Endpoint first, List<StreamCall> waiting) {
+        if (paused(first)) {
+            return;
+        }
         engines.stalled(first.address())
                 .whenComplete(
                         (waitsFor, error) -> {
@@ -169,6 +172,13 @@
                         });
     }
 
+    private boolean paused(Endpoint engine) {
+        return context.routingState()
+                .roster()
+                .pauseLeft(engine, context.clock().nanos())
+                .isPresent();
+    }
+
     private boolean markUnresponsive(Endpoint engine, List<StreamCall> waiting, String cause) {
         return markSuspected(engine, Evidence.UNRESPONSIVE, waiting, cause);
     }
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -84,7 +84,8 @@
     Optional<EngineChain> findChain(Set<InstanceId> unusable) {
         return chainFinder
                 .findWithCapacity(e -> mayAttempt(e) && !avoidedFirst.contains(e.id()), unusable)
-                .or(() -> chainFinder.findAny(this::mayAttempt, unusable));
+                .or(() -> chainFinder.findAny(this::mayAttempt, unusable))
+                .or(() -> chainFinder.findShuttingDown(this::mayAttempt, unusable));
     }
 
     /**
@@ -188,6 +189,12 @@
             opened.reset();
             return;
         }
+        if (paused(first)) {
+            cancelUpstream();
+            withdraw(first);
+            attempt();
+            return;
+        }
         markSending();
         stallDetector.add(this);
         opened.send(admitted.body())
@@ -202,6 +209,7 @@
         }
         EndpointReply reply =
                 context.headerCodec().decodeReply(answer.statusCode(), answer.headers());
+        context.notices().record(chain.orElseThrow().first().engine(), reply);
         if (reply.refuses(admitted.headers().id())) {
             markNotRun(earlierMayHaveRun);
             handleRefusal(attemptId, reply);
--- a/src/test/java/hyssopturn/fleet/RosterTest.java
+++ b/src/test/java/hyssopturn/fleet/RosterTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
@@ -44,6 +45,89 @@
         return roster.usable(SERVICE, at(millis));
     }
 
+    @Nested
+    class NoticesOfAnEndpoint {
+        private final Endpoint running = endpoint(false, 1, 1);
+
+        @Test
+        void shutdownHoldsAgainstALaterAnnouncementThatItIsReady() {
+            roster.announce(running, at(0));
+            assertThat(roster.announceShutdown(running, at(10)), is(true));
+            assertThat(roster.announceShutdown(running, at(20)), is(false));
+            roster.announce(endpoint(false, 1, 2), at(100));
+            assertThat(usable(100), empty());
+            assertThat(roster.leavingOrGone(running, at(100)), is(true));
+            assertThat(roster.stable(SERVICE, at(100)), empty());
+        }
+
+        @Test
+        void shutdownOfAnEarlierStartSaysNothingAboutTheLaterOne() {
+            roster.announce(endpoint(false, 2, 1), at(0));
+            assertThat(roster.announceShutdown(running, at(10)), is(false));
+            assertThat(usable(10), hasSize(1));
+        }
+
+        @Test
+        void endpointThatShutsDownServesForThePeriodOnly() {
+            roster.announce(running, at(0));
+            roster.announceShutdown(running, at(0));
+            Duration period = Duration.ofMillis(500);
+            assertThat(roster.shuttingDown(SERVICE, period, at(499)), hasSize(1));
+            assertThat(roster.shuttingDown(SERVICE, period, at(500)), empty());
+        }
+
+        @Test
+        void pausedEndpointIsNotUsedButKeepsItsLayers() {
+            roster.announce(running, at(0));
+            assertThat(roster.pause(running, Duration.ofMillis(500), at(0)), is(true));
+            assertThat(usable(499), empty());
+            assertThat(roster.usableOrSuspected(SERVICE, at(499)), empty());
+            assertThat(roster.stable(SERVICE, at(499)), hasSize(1));
+            assertThat(roster.suspected(running, at(499)), is(false));
+            assertThat(usable(500), hasSize(1));
+        }
+
+        @Test
+        void laterPauseDoesNotShortenAnEarlierOne() {
+            roster.announce(running, at(0));
+            roster.pause(running, Duration.ofMillis(500), at(0));
+            assertThat(roster.pause(running, Duration.ofMillis(100), at(200)), is(false));
+            assertThat(usable(400), empty());
+            roster.pause(running, Duration.ofMillis(500), at(400));
+            assertThat(usable(899), empty());
+            assertThat(usable(900), hasSize(1));
+        }
+
+        @Test
+        void newStartIsNotPaused() {
+            roster.announce(running, at(0));
+            roster.pause(running, Duration.ofDays(1), at(0));
+            roster.announce(endpoint(false, 2, 1), at(10));
+            assertThat(usable(10), hasSize(1));
+        }
+
+        @Test
+        void shareGrowsGraduallyAfterAPause() {
+            roster.announce(running, at(0));
+            assertThat(roster.share(running, at(0)), equalTo(1.0));
+            roster.pause(running, Duration.ofMillis(400), at(0));
+            assertThat(roster.share(running, at(399)), equalTo(0.0));
+            assertThat(roster.share(running, at(500)), equalTo(0.25));
+            assertThat(roster.share(running, at(800)), equalTo(1.0));
+        }
+
+        @Test
+        void firstPauseLeftIsThatOfTheServiceOnly() {
+            roster.announce(running, at(0));
+            assertThat(roster.firstPauseLeft(SERVICE, at(0)), equalTo(Optional.empty()));
+            roster.pause(running, Duration.ofMillis(400), at(0));
+            assertThat(
+                    roster.firstPauseLeft(SERVICE, at(100)),
+                    equalTo(Optional.of(Duration.ofMillis(300))));
+            assertThat(roster.firstPauseLeft("other", at(100)), equalTo(Optional.empty()));
+        }
+    }
+
     @Nested
     class LeavingOrGone {
         private final Endpoint running = endpoint(false, 1, 1);
--- a/src/test/java/hyssopturn/node/RosterListenerTest.java
+++ b/src/test/java/hyssopturn/node/RosterListenerTest.java
@@ -12,6 +12,7 @@
 import hyssopturn.platform.PlatformSettings;
 import hyssopturn.port.KeyedLog;
 import hyssopturn.relay.AnswerMemory;
+import hyssopturn.relay.EndpointNotices;
 import hyssopturn.standin.VirtualClock;
 import hyssopturn.trace.TraceEvent;
 import hyssopturn.trace.TraceLog;
@@ -115,6 +116,7 @@
                 null,
                 clock,
                 new AnswerMemory(0),
+                new EndpointNotices(new Roster(), clock, trace, new SimpleMeterRegistry()),
                 new SimpleMeterRegistry());
     }
 
--- a/src/test/java/hyssopturn/platform/AnswerEndsTest.java
+++ b/src/test/java/hyssopturn/platform/AnswerEndsTest.java
@@ -80,7 +80,7 @@
             String whole = "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"Stalled\":[]}";
             RawServer server = new RawServer(vertx, "", RawServer.End.CLOSED);
             HttpEngineControl control =
-                    new HttpEngineControl(
+                    EngineControls.of(
                             new HttpCalls(
                                     vertx.createHttpClient(),
                                     new VirtualClock(0),
--- a/src/test/java/hyssopturn/platform/EndlessAnswersTest.java
+++ b/src/test/java/hyssopturn/platform/EndlessAnswersTest.java
@@ -157,7 +157,7 @@
             CompletionException failure =
                     assertThrows(
                             CompletionException.class,
-                            () -> new HttpEngineControl(calls).stalled(worker.address()).join());
+                            () -> EngineControls.of(calls).stalled(worker.address()).join());
             assertThat(failure.getCause(), instanceOf(InDoubtException.class));
             assertClosed(worker);
         }
--- /dev/null
+++ b/src/test/java/hyssopturn/platform/EndpointNoticesTest.java
@@ -0,0 +1,234 @@
+package hyssopturn.platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.both;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import hyssopturn.model.Address;
+import hyssopturn.relay.EndpointNotice;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vertx.core.MultiMap;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** What endpoints say about themselves in their answers, counted from the requests they receive. */
+class EndpointNoticesTest {
+    private static final int CALLS = 40;
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    private static final String EVENT = "id: 0\ndata: t\n\n";
+    private static final double PAUSE_SECONDS = 1.0;
+
+    private final RelayHarness harness = new RelayHarness();
+    private final AtomicInteger received = new AtomicInteger();
+    private volatile boolean silent;
+
+    @AfterEach
+    void close() {
+        harness.close();
+    }
+
+    private void found(HttpServerRequest request) {
+        RelayHarness.signed(request).end("found");
+    }
+
+    private void foundAndLeaving(HttpServerRequest request) {
+        received.incrementAndGet();
+        HttpServerResponse response = RelayHarness.signed(request);
+        if (!silent) {
+            response.putHeader("Server-Leaving", "1");
+        }
+        response.end("found");
+    }
+
+    private void askForPause(HttpServerRequest request) {
+        received.incrementAndGet();
+        if (silent) {
+            found(request);
+            return;
+        }
+        refuse(request, Optional.empty());
+    }
+
+    private static void refuse(HttpServerRequest request, Optional<Address> blamed) {
+        HttpServerResponse response = RelayHarness.signed(request).setStatusCode(UNAVAILABLE);
+        response.putHeader("Hyssopturn-Not-Executed", "1");
+        response.putHeader("Retry-After", String.valueOf(PAUSE_SECONDS));
+        blamed.ifPresent(address -> response.putHeader("At-Server", address.toString()));
+        response.end();
+    }
+
+    private void assertServed(String path, int calls) {
+        for (int i = 0; i < calls; i++) {
+            assertThat(harness.call(path, Map.of()).status(), equalTo(OK));
+        }
+    }
+
+    private static void sleep(Duration span) {
+        try {
+            Thread.sleep(span);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Nested
+    class Shutdown {
+        /** Guards against requests that reach an endpoint long after it said that it is leaving. */
+        @Test
+        void endpointThatAnnouncedItGetsNoFurtherRequests() {
+            harness.service("a", EndpointNoticesTest.this::foundAndLeaving);
+            harness.service("b", EndpointNoticesTest.this::found);
+            assertServed("/look/x", CALLS);
+            harness.announceAgain("a", 1);
+            assertServed("/look/x", CALLS);
+            assertThat(received.get(), equalTo(1));
+        }
+
+        @Test
+        void newStartUnderTheSameIdBeginsAfresh() {
+            harness.service("a", EndpointNoticesTest.this::foundAndLeaving);
+            harness.service("b", EndpointNoticesTest.this::found);
+            assertServed("/look/x", CALLS);
+            silent = true;
+            harness.announceAgain("a", 2);
+            assertServed("/look/x", CALLS);
+            assertThat(received.get(), greaterThan(1));
+        }
+
+        @Test
+        void otherEndpointAtTheSameAddressIsUsed() {
+            harness.service("a", EndpointNoticesTest.this::foundAndLeaving);
+            assertServed("/look/x", 1);
+            silent = true;
+            Address address = harness.addressOf("a");
+            harness.remove("a");
+            harness.announce("c", address, Optional.empty());
+            sleep(RelayHarness.SHUTDOWN_PERIOD);
+            assertServed("/look/x", CALLS);
+        }
+
+        @ParameterizedTest
+        @CsvSource({"/look/x, false", "/write/x, true"})
+        void endpointThatAloneCanServeIsUsedUntilThePeriodIsOverAndNoLonger(
+                String path, boolean engine) {
+            if (engine) {
+                harness.engine("a", this::streamAndLeave);
+            } else {
+                harness.service("a", EndpointNoticesTest.this::foundAndLeaving);
+            }
+            assertServed(path, CALLS);
+            sleep(RelayHarness.SHUTDOWN_PERIOD);
+            int before = received.get();
+            assertThat(harness.call(path, Map.of()).status(), equalTo(UNAVAILABLE));
+            assertThat(received.get(), equalTo(before));
+        }
+
+        private void streamAndLeave(HttpServerRequest request) {
+            received.incrementAndGet();
+            RelayHarness.signed(request).putHeader("Server-Leaving", "1").end(EVENT);
+        }
+
+        @Test
+        void firstEngineThatAnnouncedItGetsNoFurtherStreams() {
+            harness.engine("a", this::streamAndLeave);
+            harness.engine("b", r -> RelayHarness.signed(r).end(EVENT));
+            assertServed("/write/x", CALLS);
+            assertThat(received.get(), lessThanOrEqualTo(1));
+        }
+    }
+
+    @Nested
+    class Pause {
+        /** Guards against requests that reach an endpoint during the pause that it asked for. */
+        @Test
+        void endpointGetsNothingUntilItsEndAndIsUsedAgain() {
+            harness.service("a", EndpointNoticesTest.this::askForPause);
+            harness.service("b", EndpointNoticesTest.this::found);
+            assertServed("/look/x", CALLS);
+            assertThat(received.get(), equalTo(1));
+            silent = true;
+            sleep(Duration.ofMillis((long) (1_500 * PAUSE_SECONDS)));
+            assertServed("/look/x", CALLS);
+            assertThat(received.get(), greaterThan(1));
+        }
+
+        @Test
+        void requestIsRefusedAtOnceIfAllEndpointsArePaused() {
+            harness.service("a", EndpointNoticesTest.this::askForPause);
+            harness.call("/look/x", Map.of());
+            RelayHarness.Answer answer = harness.call("/look/x", Map.of());
+            assertThat(answer.status(), equalTo(UNAVAILABLE));
+            double seconds = Double.parseDouble(answer.headers().get("Retry-After"));
+            assertThat(
+                    seconds,
+                    both(greaterThanOrEqualTo(0.1)).and(lessThanOrEqualTo(PAUSE_SECONDS + 0.5)));
+            assertThat(received.get(), equalTo(1));
+        }
+
+        @Test
+        void engineThatTheAnswerBlamesIsAvoidedToo() {
+            Address later = harness.engine("later", 40, 80, r -> RelayHarness.signed(r).end(EVENT));
+            harness.engine("first", 0, 40, r -> refuse(r, Optional.of(later)));
+            harness.call("/write/x", Map.of());
+            harness.remove("first");
+            harness.engine("other", 0, 40, EndpointNoticesTest.this::foundAndLeaving);
+            assertThat(harness.call("/write/x", Map.of()).status(), equalTo(UNAVAILABLE));
+            assertThat(received.get(), equalTo(0));
+        }
+    }
+
+    @Nested
+    class Decoding {
+        private final SimpleMeterRegistry meters = new SimpleMeterRegistry();
+
+        private EndpointNotice decode(int status, String retryAfter) {
+            MultiMap headers = MultiMap.caseInsensitiveMultiMap().add("Retry-After", retryAfter);
+            return new PlatformHeaders(meters).decodeNotice(status, headers);
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"", "soon", "-1", "NaN", "Infinity", "1e999", "1,5"})
+        void oddValueIsIgnoredAndCounted(String retryAfter) {
+            assertThat(decode(UNAVAILABLE, retryAfter), equalTo(EndpointNotice.NONE));
+            double malformed =
+                    meters.counter("hyssopturn.endpoint.notices", "notice", "malformed").count();
+            assertThat(malformed, equalTo(1.0));
+        }
+
+        @ParameterizedTest
+        @CsvSource({"2, PT2S", "0.25, PT0.25S", "1e300, PT24H"})
+        void secondsMayHaveFractionsAndAreLimited(String retryAfter, Duration length) {
+            assertThat(decode(UNAVAILABLE, retryAfter).pause(), equalTo(Optional.of(length)));
+        }
+
+        @Test
+        void valueOfAnotherStatusSaysNothing() {
+            assertThat(decode(OK, "2"), equalTo(EndpointNotice.NONE));
+        }
+
+        @Test
+        void answerOfAnotherEndpointSaysNothing() {
+            MultiMap headers = MultiMap.caseInsensitiveMultiMap().add("Server-Leaving", "1");
+            PlatformHeaders codec = new PlatformHeaders(meters);
+            assertThat(codec.decodeNotice(421, headers), equalTo(EndpointNotice.NONE));
+            assertThat(codec.decodeNotice(OK, headers).shuttingDown(), equalTo(true));
+        }
+    }
+}
--- a/src/test/java/hyssopturn/platform/HttpEngineControlTest.java
+++ b/src/test/java/hyssopturn/platform/HttpEngineControlTest.java
@@ -48,7 +48,7 @@
                         new AnswerMemory(Long.MAX_VALUE),
                         new SimpleMeterRegistry(),
                         "engine");
-        return new HttpEngineControl(calls).stalled(new Address(HOST, port));
+        return EngineControls.of(calls).stalled(new Address(HOST, port));
     }
 
     @Nested
--- a/src/test/java/hyssopturn/platform/PromptPartsTest.java
+++ b/src/test/java/hyssopturn/platform/PromptPartsTest.java
@@ -8,6 +8,7 @@
 import hyssopturn.model.PromptPart;
 import hyssopturn.relay.CallHeaders;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.vertx.core.MultiMap;
 
 import org.junit.jupiter.api.Test;
@@ -21,7 +22,8 @@
     private static final int MAX_PARTS = 32;
 
     private static CallHeaders decode(String text) {
-        return new PlatformHeaders().decode(MultiMap.caseInsensitiveMultiMap().add(HEADER, text));
+        return new PlatformHeaders(new SimpleMeterRegistry())
+                .decode(MultiMap.caseInsensitiveMultiMap().add(HEADER, text));
     }
 
     @Test
@@ -63,7 +65,9 @@
 
     @Test
     void areEmptyWithoutTheHeader() {
-        CallHeaders headers = new PlatformHeaders().decode(MultiMap.caseInsensitiveMultiMap());
+        CallHeaders headers =
+                new PlatformHeaders(new SimpleMeterRegistry())
+                        .decode(MultiMap.caseInsensitiveMultiMap());
         assertThat(headers.promptParts(), empty());
         assertThat(headers.sharedParts(), empty());
     }
--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -16,6 +16,7 @@
 import hyssopturn.relay.AnswerMemory;
 import hyssopturn.relay.Attempt;
 import hyssopturn.relay.CallHeaders;
+import hyssopturn.relay.EndpointNotices;
 import hyssopturn.relay.EndpointReply;
 import hyssopturn.relay.HeaderCodec;
 import hyssopturn.relay.LoopLag;
@@ -65,6 +66,9 @@
     /** Stall timeout, long enough that only engines that have stalled for good are queried. */
     private static final Duration STALL_TIMEOUT = Duration.ofMillis(400);
 
+    /** How long an endpoint that announced its shutdown serves what no other one can. */
+    static final Duration SHUTDOWN_PERIOD = Duration.ofMillis(1_500);
+
     /** Memory for incomplete answers, in bytes. */
     static final long ANSWER_MEMORY_BYTES = 16_000_000;
 
@@ -105,6 +109,7 @@
                     new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
     private final RoutingState knowledge = new RoutingState();
     private final EngineLoad load = new EngineLoad(loadNoise(), 10);
+    private final PlatformHeaders platformHeaders = new PlatformHeaders(new SimpleMeterRegistry());
     private final AnswerMemory answerMemory = new AnswerMemory(ANSWER_MEMORY_BYTES);
     private final RetryBudget retryBudget =
             new RetryBudget(0.2, Duration.ofSeconds(10).toNanos(), 100, 1);
@@ -133,6 +138,8 @@
     RelayHarness(boolean configured) {
         Clock clock = clock();
         trace = new TraceLog("test", clock, OutputStream.nullOutputStream(), 1_000, events::add);
+        EndpointNotices notices =
+                new EndpointNotices(knowledge.roster(), clock, trace, new SimpleMeterRegistry());
         Catalog catalog = CatalogDecoder.decode(Bytes.utf8(CONFIG));
         if (configured) {
             knowledge.update(catalog);
@@ -153,6 +160,7 @@
                         new LoopLag(),
                         endpoint -> {},
                         answerMemory,
+                        notices,
                         new PromptGuard(new PromptQuarantine(0), clock, trace, report -> {}),
                         trace,
                         new SimpleMeterRegistry(),
@@ -163,6 +171,7 @@
                                 STALL_TIMEOUT,
                                 STALL_TIMEOUT,
                                 STALL_TIMEOUT,
+                                SHUTDOWN_PERIOD,
                                 Duration.ofSeconds(1)));
         relay =
                 new Relay(
@@ -173,7 +182,9 @@
                                         clock,
                                         answerMemory,
                                         new SimpleMeterRegistry(),
-                                        "engine")));
+                                        "engine"),
+                                platformHeaders,
+                                notices));
         relay.start();
         HttpServer server = vertx.createHttpServer().requestHandler(relay::handle);
         port = server.listen(0, HOST).await().actualPort();
@@ -201,7 +212,7 @@
 
     /** Decodes and encodes as the platform does, unless a test lets the decoding fail. */
     private HeaderCodec headers() {
-        PlatformHeaders platform = new PlatformHeaders();
+        PlatformHeaders platform = platformHeaders;
         return new HeaderCodec() {
             @Override
             public CallHeaders decode(MultiMap headers) {
@@ -410,6 +421,38 @@
         knowledge.roster().announce(leaving, 0);
     }
 
+    /** Announces a worker again, as started at a given time. */
+    void announceAgain(String id, long incarnation) {
+        Endpoint current = announced.get(id);
+        Endpoint next =
+                new Endpoint(
+                        current.id(),
+                        current.service(),
+                        current.address(),
+                        current.zone(),
+                        current.slots(),
+                        false,
+                        current.kind(),
+                        current.layers(),
+                        incarnation,
+                        current.heartbeat() + 1);
+        onLoop(() -> knowledge.roster().announce(next, 0));
+    }
+
+    /** Removes a worker from the list. */
+    void remove(String id) {
+        onLoop(
+                () -> {
+                    knowledge.roster().remove(new InstanceId(id), 0);
+                    knowledge.roster().purge(0);
+                });
+    }
+
+    /** Returns the address that a worker was announced with. */
+    Address addressOf(String id) {
+        return announced.get(id).address();
+    }
+
     /** Returns the ids of the requests that reached workers. */
     List<String> requestIds() {
         return List.copyOf(requestIds);
--- a/src/test/java/hyssopturn/relay/EndpointChecksTest.java
+++ b/src/test/java/hyssopturn/relay/EndpointChecksTest.java
@@ -79,10 +79,11 @@
                 loopLag,
                 engine -> {},
                 new AnswerMemory(0),
+                new EndpointNotices(state.roster(), clock, trace, new SimpleMeterRegistry()),
                 new PromptGuard(new PromptQuarantine(0), clock, trace, report -> {}),
                 trace,
                 new SimpleMeterRegistry(),
-                new RelaySettings(ZONE, TICK, TICK, TICK, TICK, TICK, TICK));
+                new RelaySettings(ZONE, TICK, TICK, TICK, TICK, TICK, TICK, TICK));
     }
 
     private static Endpoint engine(int number) {
--- a/src/test/java/hyssopturn/relay/EventWaitTest.java
+++ b/src/test/java/hyssopturn/relay/EventWaitTest.java
@@ -17,6 +17,7 @@
                     Duration.ofMillis(55),
                     Duration.ofMillis(250),
                     Duration.ofMillis(120),
+                    Duration.ofSeconds(2),
                     Duration.ofSeconds(1));
 
     private final EventWait wait = new EventWait(SETTINGS);
