Answers that are too large name the cause in the log; the bytes of incomplete answers are a metric

A plain answer that was discarded for want of memory, or exceeded the maximum size, was logged as "answer cut off". The framer keeps its buffer while it is small.

--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -134,6 +134,7 @@
                         vertx, ENDPOINT_CONNECTIONS, settings.connectTimeout());
         AnswerMemory answerMemory =
                 new AnswerMemory(Runtime.getRuntime().maxMemory() / ANSWER_HEAP_DIVISOR);
+        meters.gauge("hyssopturn.answer.bytes", answerMemory, AnswerMemory::heldBytes);
         EndpointNotices notices = new EndpointNotices(knowledge.roster(), clock, trace, meters);
         PlatformAdapter adapter =
                 new PlatformAdapter(
--- a/src/main/java/hyssopturn/relay/EventFramer.java
+++ b/src/main/java/hyssopturn/relay/EventFramer.java
@@ -90,7 +90,8 @@
             return;
         }
         int rest = length - end;
-        byte[] target = rest <= INITIAL_BYTES ? new byte[INITIAL_BYTES] : buffer;
+        boolean shrinks = buffer.length > INITIAL_BYTES && rest <= INITIAL_BYTES;
+        byte[] target = shrinks ? new byte[INITIAL_BYTES] : buffer;
         System.arraycopy(buffer, end, target, 0, rest);
         buffer = target;
         length = rest;
--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -234,7 +234,13 @@
         BoundedBody.read(answer, context.clock(), context.answerMemory())
                 .onComplete(
                         body -> handleBody(attempt, reply, answer, body),
-                        e -> handleFailure(attempt, "answer cut off"));
+                        e -> handleFailure(attempt, causeOf(e)));
+    }
+
+    private static String causeOf(Throwable error) {
+        return error instanceof BoundedBody.TooLongException
+                ? error.getMessage()
+                : "answer cut off";
     }
 
     private void handleBody(
