--- a/src/main/java/hyssopturn/chain/LayerController.java
+++ b/src/main/java/hyssopturn/chain/LayerController.java
@@ -208,7 +208,7 @@
     }
 
     private void send(Endpoint engine, LayerRange range, long now) {
-        if (roster.pauseLeft(engine, now).isPresent()) {
+        if (roster.paused(engine, now)) {
             return;
         }
         long token = fence.orElseThrow();
--- a/src/main/java/hyssopturn/fleet/Roster.java
+++ b/src/main/java/hyssopturn/fleet/Roster.java
@@ -43,42 +43,13 @@
     /** Time without an announcement of the latest start after which an earlier start counts. */
     public static final Duration EARLIER_START_TIMEOUT = Duration.ofSeconds(3);
 
-    private final Map<InstanceId, Entry> entries = new HashMap<>();
+    private final Map<InstanceId, RosterEntry> entries = new HashMap<>();
     private long outageEndNanos = Long.MIN_VALUE;
     private long lastRampEndNanos = Long.MIN_VALUE;
 
     /** Creates an empty roster. */
     public Roster() {}
 
-    /** Suspicion that an endpoint has failed, with the times of its first and latest evidence. */
-    private record Suspicion(Evidence evidence, long sinceNanos, long latestNanos) {
-        boolean active(long lastHeartbeatNanos, long nowNanos) {
-            if (evidence == Evidence.REPORT) {
-                return nowNanos - latestNanos < REPORT_VALIDITY.toNanos();
-            }
-            return nowNanos - latestNanos < MIN_SUSPICION.toNanos()
-                    || lastHeartbeatNanos - latestNanos < MIN_SUSPICION.toNanos() / 2;
-        }
-    }
-
-    private static final class Entry {
-        private final long firstListedNanos;
-        private Endpoint endpoint;
-        private long lastHeartbeatNanos;
-        private Optional<Suspicion> suspicion = Optional.empty();
-        private Optional<Long> removedNanos = Optional.empty();
-        private Optional<Long> unreadableNanos = Optional.empty();
-        private boolean leaving;
-        private final Availability availability = new Availability();
-
-        Entry(Endpoint endpoint, long nowNanos) {
-            this.endpoint = endpoint;
-            firstListedNanos = nowNanos;
-            lastHeartbeatNanos = nowNanos;
-            leaving = endpoint.leaving();
-        }
-    }
-
     /**
      * Records an announcement.
      *
@@ -88,9 +59,9 @@
      *     announcement
      */
     public boolean announce(Endpoint announced, long nowNanos) {
-        Entry entry = entries.get(announced.id());
+        RosterEntry entry = entries.get(announced.id());
         if (entry == null || supersedes(announced, entry, nowNanos)) {
-            entries.put(announced.id(), new Entry(announced, nowNanos));
+            entries.put(announced.id(), new RosterEntry(announced, nowNanos));
             return true;
         }
         if (announced.incarnation() < entry.endpoint.incarnation()) {
@@ -112,7 +83,7 @@
      * Returns whether an announcement is of a later start than the known one, or continues an
      * earlier start: an announcement with a wrong time of start must not shut out the endpoint.
      */
-    private static boolean supersedes(Endpoint announced, Entry known, long nowNanos) {
+    private static boolean supersedes(Endpoint announced, RosterEntry known, long nowNanos) {
         return announced.incarnation() > known.endpoint.incarnation()
                 || (announced.incarnation() < known.endpoint.incarnation()
                         && nowNanos - known.lastHeartbeatNanos > EARLIER_START_TIMEOUT.toNanos());
@@ -126,7 +97,7 @@
      * @param nowNanos time now
      */
     public void markUnreadable(InstanceId id, long nowNanos) {
-        Entry entry = entries.get(id);
+        RosterEntry entry = entries.get(id);
         if (entry != null && entry.unreadableNanos.isEmpty()) {
             entry.unreadableNanos = Optional.of(nowNanos);
         }
@@ -147,7 +118,7 @@
      * @return true if the endpoint was listed
      */
     public boolean remove(InstanceId id, long nowNanos) {
-        Entry entry = entries.get(id);
+        RosterEntry entry = entries.get(id);
         if (entry == null || entry.removedNanos.isPresent()) {
             return false;
         }
@@ -189,18 +160,7 @@
      * @return true if it was not under suspicion before, or only because of a report
      */
     public boolean suspect(InstanceId id, long incarnation, Evidence evidence, long nowNanos) {
-        Entry entry = entries.get(id);
-        if (entry == null || entry.endpoint.incarnation() != incarnation) {
-            return false;
-        }
-        Optional<Suspicion> earlier = activeSuspicion(entry, nowNanos);
-        boolean reportedOnly = earlier.filter(s -> s.evidence == Evidence.REPORT).isPresent();
-        if (evidence == Evidence.REPORT && earlier.isPresent() && !reportedOnly) {
-            return false;
-        }
-        long sinceNanos = earlier.map(Suspicion::sinceNanos).orElse(nowNanos);
-        entry.suspicion = Optional.of(new Suspicion(evidence, sinceNanos, nowNanos));
-        return earlier.isEmpty() || (reportedOnly && evidence != Evidence.REPORT);
+        return find(id, incarnation).filter(e -> e.suspect(evidence, nowNanos)).isPresent();
     }
 
     /**
@@ -212,18 +172,7 @@
      * @return true if it was under suspicion and is not any more
      */
     public boolean clearSuspicion(Endpoint endpoint, long nowNanos) {
-        Entry entry = entries.get(endpoint.id());
-        if (entry == null || entry.endpoint.incarnation() != endpoint.incarnation()) {
-            return false;
-        }
-        boolean refuted =
-                activeSuspicion(entry, nowNanos)
-                        .filter(s -> s.evidence != Evidence.UNRESPONSIVE)
-                        .isPresent();
-        if (refuted) {
-            entry.suspicion = Optional.empty();
-        }
-        return refuted;
+        return find(endpoint).filter(e -> e.clearSuspicion(nowNanos)).isPresent();
     }
 
     /**
@@ -233,13 +182,7 @@
      * @return the endpoints, in no particular order
      */
     public List<Endpoint> reported(long nowNanos) {
-        return list(e -> reportedOnly(e, nowNanos));
-    }
-
-    private static boolean reportedOnly(Entry entry, long nowNanos) {
-        return activeSuspicion(entry, nowNanos)
-                .filter(s -> s.evidence == Evidence.REPORT)
-                .isPresent();
+        return list(e -> e.reportedOnly(nowNanos));
     }
 
     /**
@@ -248,7 +191,7 @@
      * @param id the endpoint
      */
     public void markLeaving(InstanceId id) {
-        Entry entry = entries.get(id);
+        RosterEntry entry = entries.get(id);
         if (entry != null) {
             entry.leaving = true;
         }
@@ -263,7 +206,7 @@
      * @return true if it had not said so before
      */
     public boolean announceShutdown(Endpoint endpoint, long nowNanos) {
-        Optional<Entry> entry = find(endpoint);
+        Optional<RosterEntry> entry = find(endpoint);
         entry.ifPresent(e -> e.leaving = true);
         return entry.filter(e -> e.availability.announceShutdown(nowNanos)).isPresent();
     }
@@ -293,6 +236,17 @@
         return find(endpoint).flatMap(e -> e.availability.pauseLeft(nowNanos));
     }
 
+    /**
+     * Returns whether an endpoint has asked for a pause that is not over.
+     *
+     * @param endpoint the endpoint
+     * @param nowNanos time now
+     * @return true if it gets nothing now
+     */
+    public boolean paused(Endpoint endpoint, long nowNanos) {
+        return pauseLeft(endpoint, nowNanos).isPresent();
+    }
+
     /**
      * Returns the time until the first pause of a service's endpoints ends.
      *
@@ -302,7 +256,7 @@
      */
     public Optional<Duration> firstPauseLeft(String service, long nowNanos) {
         return entries.values().stream()
-                .filter(e -> e.endpoint.service().equals(service) && !e.leaving)
+                .filter(e -> e.serves(service) && !e.leaving)
                 .flatMap(e -> e.availability.pauseLeft(nowNanos).stream())
                 .min(Comparator.naturalOrder());
     }
@@ -331,9 +285,12 @@
         return find(endpoint).filter(e -> e.removedNanos.isEmpty()).isPresent();
     }
 
-    private Optional<Entry> find(Endpoint endpoint) {
-        return Optional.ofNullable(entries.get(endpoint.id()))
-                .filter(e -> e.endpoint.incarnation() == endpoint.incarnation());
+    private Optional<RosterEntry> find(Endpoint endpoint) {
+        return find(endpoint.id(), endpoint.incarnation());
+    }
+
+    private Optional<RosterEntry> find(InstanceId id, long incarnation) {
+        return Optional.ofNullable(entries.get(id)).filter(e -> e.sameStart(incarnation));
     }
 
     /**
@@ -348,12 +305,12 @@
     public List<Endpoint> shuttingDown(String service, Duration period, long nowNanos) {
         return list(
                 e ->
-                        e.endpoint.service().equals(service)
+                        e.serves(service)
                                 && e.availability.shuttingDownSinceLessThan(period, nowNanos)
                                 && e.removedNanos.isEmpty()
                                 && !e.endpoint.leaving()
                                 && !e.availability.paused(nowNanos)
-                                && !suspected(e, nowNanos));
+                                && !e.suspected(nowNanos));
     }
 
     /**
@@ -364,12 +321,9 @@
      * @return true if it accepts no new requests and will soon stop
      */
     public boolean leavingOrGone(Endpoint endpoint, long nowNanos) {
-        Entry entry = entries.get(endpoint.id());
-        if (entry == null || entry.endpoint.incarnation() != endpoint.incarnation()) {
-            return true;
-        }
-        boolean gone = entry.removedNanos.isPresent() && !withinGrace(entry, nowNanos);
-        return entry.leaving || entry.endpoint.leaving() || gone;
+        return find(endpoint)
+                .filter(e -> !e.leaving && !e.endpoint.leaving() && listed(e, nowNanos))
+                .isEmpty();
     }
 
     /**
@@ -380,11 +334,9 @@
      * @return true if it is gone and had not announced that it was leaving
      */
     public boolean ended(Endpoint endpoint) {
-        Entry entry = entries.get(endpoint.id());
-        if (entry == null || entry.endpoint.incarnation() != endpoint.incarnation()) {
-            return !endpoint.leaving();
-        }
-        return entry.removedNanos.isPresent() && !entry.leaving;
+        return find(endpoint)
+                .map(e -> e.removedNanos.isPresent() && !e.leaving)
+                .orElse(!endpoint.leaving());
     }
 
     /**
@@ -397,7 +349,7 @@
         List<InstanceId> dropped = new ArrayList<>();
         entries.forEach(
                 (id, e) -> {
-                    if (e.removedNanos.isPresent() && !withinGrace(e, nowNanos)) {
+                    if (!listed(e, nowNanos)) {
                         dropped.add(id);
                     }
                 });
@@ -405,7 +357,12 @@
         return dropped;
     }
 
-    private boolean withinGrace(Entry entry, long nowNanos) {
+    /** Returns whether the list holds the endpoint, or may do so but for an outage. */
+    private boolean listed(RosterEntry entry, long nowNanos) {
+        return entry.removedNanos.isEmpty() || withinGrace(entry, nowNanos);
+    }
+
+    private boolean withinGrace(RosterEntry entry, long nowNanos) {
         long removed = entry.removedNanos.orElse(nowNanos);
         boolean nearOutage =
                 outageEndNanos != Long.MIN_VALUE
@@ -422,32 +379,15 @@
      * @return true if it is under suspicion
      */
     public boolean suspected(Endpoint endpoint, long nowNanos) {
-        Entry entry = entries.get(endpoint.id());
-        return entry != null
-                && entry.endpoint.incarnation() == endpoint.incarnation()
-                && suspected(entry, nowNanos);
-    }
-
-    private static boolean suspected(Entry entry, long nowNanos) {
-        return activeSuspicion(entry, nowNanos).isPresent();
+        return find(endpoint).filter(e -> e.suspected(nowNanos)).isPresent();
     }
 
-    private static Optional<Suspicion> activeSuspicion(Entry entry, long nowNanos) {
-        return entry.suspicion.filter(s -> s.active(entry.lastHeartbeatNanos, nowNanos));
+    private boolean present(RosterEntry entry, long nowNanos) {
+        return entry.accepting(nowNanos) && listed(entry, nowNanos);
     }
 
-    private boolean present(Entry entry, long nowNanos) {
-        if (entry.leaving || entry.endpoint.leaving() || entry.unreadableNanos.isPresent()) {
-            return false;
-        }
-        if (entry.availability.paused(nowNanos)) {
-            return false;
-        }
-        return entry.removedNanos.isEmpty() || withinGrace(entry, nowNanos);
-    }
-
-    private boolean usable(Entry entry, long nowNanos) {
-        return present(entry, nowNanos) && !suspected(entry, nowNanos);
+    private boolean usable(RosterEntry entry, long nowNanos) {
+        return present(entry, nowNanos) && !entry.suspected(nowNanos);
     }
 
     /**
@@ -458,7 +398,7 @@
      * @return the endpoints, in no particular order
      */
     public List<Endpoint> usable(String service, long nowNanos) {
-        return list(e -> usable(e, nowNanos) && e.endpoint.service().equals(service));
+        return list(e -> e.serves(service) && usable(e, nowNanos));
     }
 
     /**
@@ -471,9 +411,9 @@
     public List<Endpoint> usableOrReported(String service, long nowNanos) {
         return list(
                 e ->
-                        e.endpoint.service().equals(service)
+                        e.serves(service)
                                 && present(e, nowNanos)
-                                && (!suspected(e, nowNanos) || reportedOnly(e, nowNanos)));
+                                && (!e.suspected(nowNanos) || e.reportedOnly(nowNanos)));
     }
 
     /**
@@ -484,7 +424,7 @@
      * @return the endpoints, in no particular order
      */
     public List<Endpoint> usableOrSuspected(String service, long nowNanos) {
-        return list(e -> present(e, nowNanos) && e.endpoint.service().equals(service));
+        return list(e -> e.serves(service) && present(e, nowNanos));
     }
 
     /**
@@ -496,15 +436,7 @@
      * @return the endpoints, in no particular order
      */
     public List<Endpoint> stable(String service, long nowNanos) {
-        return list(e -> stable(e, nowNanos) && e.endpoint.service().equals(service));
-    }
-
-    private static boolean stable(Entry entry, long nowNanos) {
-        boolean readable =
-                entry.unreadableNanos
-                        .filter(since -> nowNanos - since > UNREADABLE_TOLERANCE.toNanos())
-                        .isEmpty();
-        return entry.removedNanos.isEmpty() && readable && !entry.leaving && !lost(entry, nowNanos);
+        return list(e -> e.serves(service) && e.stable(nowNanos));
     }
 
     /**
@@ -518,23 +450,17 @@
      */
     public boolean settled(String service, Duration period, long nowNanos) {
         long newest = Long.MIN_VALUE;
-        for (Entry entry : entries.values()) {
-            if (entry.endpoint.service().equals(service) && stable(entry, nowNanos)) {
+        for (RosterEntry entry : entries.values()) {
+            if (entry.serves(service) && entry.stable(nowNanos)) {
                 newest = Math.max(newest, entry.firstListedNanos);
             }
         }
         return newest != Long.MIN_VALUE && nowNanos - newest > period.toNanos();
     }
 
-    private static boolean lost(Entry entry, long nowNanos) {
-        return activeSuspicion(entry, nowNanos)
-                .filter(s -> nowNanos - s.sinceNanos > LOST_AFTER.toNanos())
-                .isPresent();
-    }
-
-    private List<Endpoint> list(Predicate<Entry> wanted) {
+    private List<Endpoint> list(Predicate<RosterEntry> wanted) {
         List<Endpoint> found = new ArrayList<>();
-        for (Entry entry : entries.values()) {
+        for (RosterEntry entry : entries.values()) {
             if (wanted.test(entry)) {
                 found.add(entry.endpoint);
             }
@@ -550,7 +476,7 @@
      */
     public Optional<Endpoint> findByAddress(Address address) {
         Endpoint found = null;
-        for (Entry entry : entries.values()) {
+        for (RosterEntry entry : entries.values()) {
             Endpoint endpoint = entry.endpoint;
             if (endpoint.address().equals(address)
                     && (found == null || endpoint.incarnation() > found.incarnation())) {
--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -204,7 +204,7 @@
 
     /** Returns whether an endpoint has asked for a pause since it was chosen. */
     final boolean paused(Endpoint endpoint) {
-        return context.routingState().roster().pauseLeft(endpoint, now()).isPresent();
+        return context.routingState().roster().paused(endpoint, now());
     }
 
     /** Records that nothing was sent to a chosen endpoint, which does not count as an attempt. */
--- a/src/main/java/hyssopturn/relay/ChainMoves.java
+++ b/src/main/java/hyssopturn/relay/ChainMoves.java
@@ -193,10 +193,7 @@
 
     /** Returns whether the first engine, which carries out reroute orders, wants none now. */
     private boolean firstPaused() {
-        return context.routingState()
-                .roster()
-                .pauseLeft(current().first().engine(), context.clock().nanos())
-                .isPresent();
+        return call.paused(current().first().engine());
     }
 
     private Optional<EngineChain> findDetour(Endpoint engine) {
--- a/src/main/java/hyssopturn/relay/EndpointChecks.java
+++ b/src/main/java/hyssopturn/relay/EndpointChecks.java
@@ -178,7 +178,7 @@
      * is the state of an endpoint that asked for a pause.
      */
     private void probe(Endpoint endpoint, Consumer<Liveness> handler) {
-        if (roster().pauseLeft(endpoint, context.clock().nanos()).isPresent()) {
+        if (roster().paused(endpoint, context.clock().nanos())) {
             handler.accept(Liveness.UNKNOWN);
             return;
         }
--- a/src/main/java/hyssopturn/relay/StallDetector.java
+++ b/src/main/java/hyssopturn/relay/StallDetector.java
@@ -173,10 +173,7 @@
     }
 
     private boolean paused(Endpoint engine) {
-        return context.routingState()
-                .roster()
-                .pauseLeft(engine, context.clock().nanos())
-                .isPresent();
+        return context.routingState().roster().paused(engine, context.clock().nanos());
     }
 
     private boolean markUnresponsive(Endpoint engine, List<StreamCall> waiting, String cause) {
--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -406,39 +406,29 @@
     /** Announces that a worker is leaving; must run on the event loop. */
     void announceLeaving(String id) {
         Endpoint current = announced.get(id);
-        Endpoint leaving =
-                new Endpoint(
-                        current.id(),
-                        current.service(),
-                        current.address(),
-                        current.zone(),
-                        current.slots(),
-                        true,
-                        current.kind(),
-                        current.layers(),
-                        current.incarnation(),
-                        current.heartbeat() + 1);
-        knowledge.roster().announce(leaving, 0);
+        knowledge.roster().announce(changed(current, true, current.incarnation()), 0);
     }
 
     /** Announces a worker again, as started at a given time. */
     void announceAgain(String id, long incarnation) {
-        Endpoint current = announced.get(id);
-        Endpoint next =
-                new Endpoint(
-                        current.id(),
-                        current.service(),
-                        current.address(),
-                        current.zone(),
-                        current.slots(),
-                        false,
-                        current.kind(),
-                        current.layers(),
-                        incarnation,
-                        current.heartbeat() + 1);
+        Endpoint next = changed(announced.get(id), false, incarnation);
         onLoop(() -> knowledge.roster().announce(next, 0));
     }
 
+    private static Endpoint changed(Endpoint current, boolean leaving, long incarnation) {
+        return new Endpoint(
+                current.id(),
+                current.service(),
+                current.address(),
+                current.zone(),
+                current.slots(),
+                leaving,
+                current.kind(),
+                current.layers(),
+                incarnation,
+                current.heartbeat() + 1);
+    }
+
     /** Removes a worker from the list. */
     void remove(String id) {
         onLoop(
