--- a/src/test/java/hyssopturn/platform/EndlessAnswersTest.java
+++ b/src/test/java/hyssopturn/platform/EndlessAnswersTest.java
@@ -12,12 +12,15 @@
 import hyssopturn.standin.VirtualClock;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vertx.core.Handler;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpServerRequest;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -86,6 +89,35 @@
         }
     }
 
+    /** Guards against bytes that stay counted after the caller has left. */
+    @Nested
+    class OfACallerThatLeaves {
+        @ParameterizedTest
+        @CsvSource({"/book/a, false", "/once/a, true"})
+        @Timeout(value = CLOSE_SECONDS, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+        void holdNoMemory(String path, boolean engine) throws InterruptedException {
+            CompletableFuture<Void> arrived = new CompletableFuture<>();
+            Handler<HttpServerRequest> partial =
+                    r -> {
+                        RelayHarness.signed(r).setChunked(true).write("data: part of an answer");
+                        harness.runLater(() -> arrived.complete(null));
+                    };
+            if (engine) {
+                harness.engine("a", partial);
+            } else {
+                harness.service("a", partial);
+            }
+            harness.callAndDisconnect(path, arrived);
+            while (harness.heldAnswerBytes() == 0) {
+                Thread.sleep(1);
+            }
+            arrived.join();
+            while (harness.heldAnswerBytes() > 0) {
+                Thread.sleep(1);
+            }
+        }
+    }
+
     @Nested
     class OfAPlainWorker {
         @ParameterizedTest
--- a/src/test/java/hyssopturn/platform/KeptConnectionTest.java
+++ b/src/test/java/hyssopturn/platform/KeptConnectionTest.java
@@ -21,6 +21,7 @@
     private static final int TOO_LARGE = 413;
     private static final int SLOW_MILLIS = 300;
     private static final int MAX_BODY_BYTES = 65_536;
+    private static final int SMALL_PIECES = 4_000;
     private static final int LONG_URI_CHARS = 8_000;
 
     private final ScriptedPlatform platform = new ScriptedPlatform(Configs.version(1), this::serve);
@@ -68,6 +69,31 @@
         assertThat(caller.read().status(), equalTo(OK));
     }
 
+    /** The body exceeds what is read at once, so its connection is paused in between. */
+    @Test
+    void bodyInManySmallPiecesIsReadWholeAndTheNextRequestIsAnswered() throws IOException {
+        String body = "1\r\nx\r\n".repeat(SMALL_PIECES) + "0\r\n\r\n";
+        caller.sendRaw(
+                post("/look/x", "", "").replace("Content-Length: 0", "Transfer-Encoding: chunked")
+                        + body);
+        caller.sendRaw(post("/none/", "", "c"));
+        assertThat(caller.read().status(), equalTo(OK));
+        assertThat(caller.read().status(), equalTo(NOT_FOUND));
+    }
+
+    @Test
+    void callerThatLeavesWithinABodyInSmallPiecesHarmsNoOther() throws IOException {
+        try (KeptConnection leaver = new KeptConnection(platform.front())) {
+            leaver.sendRaw(
+                    post("/look/x", "", "")
+                                    .replace("Content-Length: 0", "Transfer-Encoding: chunked")
+                            + "1\r\nx\r\n".repeat(SMALL_PIECES));
+        }
+        caller.pause(SLOW_MILLIS);
+        caller.send("/look/x");
+        assertThat(caller.read().status(), equalTo(OK));
+    }
+
     @Test
     void requestAfterRefusedOnesIsAnswered() throws IOException {
         caller.sendRaw(post("/none/x", "", "a"));
