--- a/src/main/java/hyssopturn/fleet/Availability.java
+++ b/src/main/java/hyssopturn/fleet/Availability.java
@@ -29,11 +29,6 @@
         return true;
     }
 
-    /** Returns whether the endpoint has announced its shutdown. */
-    boolean shuttingDown() {
-        return shutdownNanos.isPresent();
-    }
-
     /** Returns whether the endpoint announced its shutdown less than a period ago. */
     boolean shuttingDownSinceLessThan(Duration period, long nowNanos) {
         return shutdownNanos.filter(since -> nowNanos - since < period.toNanos()).isPresent();
--- a/src/main/java/hyssopturn/relay/ChainFinder.java
+++ b/src/main/java/hyssopturn/relay/ChainFinder.java
@@ -94,16 +94,11 @@
         List<Endpoint> withCapacity =
                 usable().stream()
                         .filter(e -> !context.load().recentlyRefused(e.id(), now))
-                        .filter(e -> drawnForUse(e, now))
+                        .filter(context::drawForUse)
                         .toList();
         return search(withCapacity, first, excluded);
     }
 
-    private boolean drawnForUse(Endpoint engine, long now) {
-        double share = roster().share(engine, now);
-        return share >= 1 || context.random().nextDouble() < share;
-    }
-
     private Optional<EngineChain> search(
             List<Endpoint> engines, Predicate<Endpoint> first, Set<InstanceId> excluded) {
         long now = now();
--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -100,7 +100,7 @@
         Roster roster = context.routingState().roster();
         String service = admitted.service();
         Duration shutdownPeriod = context.settings().shutdownPeriod();
-        return leastLoaded(candidates().filter(this::drawnForUse))
+        return leastLoaded(candidates().filter(context::drawForUse))
                 .or(() -> leastLoaded(candidates()))
                 .or(() -> leastLoaded(allowed(roster.usableOrReported(service, now()))))
                 .or(
@@ -111,11 +111,6 @@
                                                         service, shutdownPeriod, now()))));
     }
 
-    private boolean drawnForUse(Endpoint endpoint) {
-        double share = context.routingState().roster().share(endpoint, now());
-        return share >= 1 || context.random().nextDouble() < share;
-    }
-
     private Optional<Endpoint> leastLoaded(Stream<Endpoint> endpoints) {
         return endpoints.min(
                 Comparator.comparingInt((Endpoint e) -> load.requestsAt(e.id()))
--- a/src/main/java/hyssopturn/relay/RelayContext.java
+++ b/src/main/java/hyssopturn/relay/RelayContext.java
@@ -54,4 +54,13 @@
         PromptGuard prompts,
         TraceLog trace,
         MeterRegistry meters,
-        RelaySettings settings) {}
+        RelaySettings settings) {
+    /**
+     * Draws whether an endpoint is considered for a request: always, but during and shortly after a
+     * pause that it asked for.
+     */
+    boolean drawForUse(Endpoint endpoint) {
+        double share = routingState.roster().share(endpoint, clock.nanos());
+        return share >= 1 || random.nextDouble() < share;
+    }
+}
