--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -47,9 +47,6 @@
     /** Time over which callers are spread that return to endpoints with a limit. */
     private static final Duration LIMIT_RETRY_SPREAD = Duration.ofSeconds(2);
 
-    /** Number of refusals of an answer that began that do not count as attempts. */
-    private static final int MAX_UNCOUNTED_REFUSALS = 4;
-
     private static final String RETRY = "retry";
     private static final String NODE_STOPS = "node stops";
     private static final long NANOS_PER_MILLI = 1_000_000;
@@ -435,10 +432,10 @@
         return repeatObstacle();
     }
 
-    /** Returns whether the request was sent too often; refusals of a begun answer count later. */
+    /** Returns whether the request was sent too often; refusals of a begun answer do not count. */
     private boolean attemptsUsedUp() {
-        int refused = response.headWritten() ? Math.min(refusals, MAX_UNCOUNTED_REFUSALS) : 0;
-        return attempts - uncounted - refused >= MAX_ATTEMPTS;
+        int withoutFailure = uncounted + (response.headWritten() ? refusals : 0);
+        return attempts - withoutFailure >= MAX_ATTEMPTS;
     }
 
     private Optional<String> budgetObstacle(RetryBudget.AnswerState answerState) {
--- a/src/main/java/hyssopturn/relay/CallerPatience.java
+++ b/src/main/java/hyssopturn/relay/CallerPatience.java
@@ -5,8 +5,9 @@
 import java.time.Duration;
 
 /**
- * Decides how long a stream that lost its engines may wait for another chain: as long as its caller
- * still gains from it. Does no I/O; the caller passes in the time.
+ * Estimates how long callers wait for an event. The estimate orders streams that wait, and limits
+ * how long one is held that was sent nowhere yet; it ends no answer that began. Does no I/O; the
+ * caller passes in the time.
  */
 final class CallerPatience {
     /** Time after which callers leave a stream without events, whatever its route. */
@@ -31,10 +32,10 @@
     }
 
     /**
-     * Returns until when another chain may be started for a stream.
+     * Returns until when a chain that is started would still serve the caller of a stream.
      *
      * @param route route of the stream
-     * @param lastEventNanos time at which the caller was sent the last event
+     * @param lastEventNanos time at which the caller was sent the last event, or sent the request
      * @param timeoutNanos time at which the request's timeout expires
      */
     static long startBeforeNanos(Route route, long lastEventNanos, long timeoutNanos) {
--- a/src/main/java/hyssopturn/relay/Resumption.java
+++ b/src/main/java/hyssopturn/relay/Resumption.java
@@ -7,16 +7,23 @@
 
 /**
  * Continues a stream that began and lost its chain. If the retry budget is used up or there is no
- * chain, the stream waits as long as its caller does: the budget comes back, and so do engines.
- * Nothing is sent meanwhile.
+ * chain, the stream waits until its timeout: the budget comes back, and so do engines. Nothing is
+ * sent meanwhile. Its caller ends it sooner by leaving.
  */
 final class Resumption implements RetryQueue.Member {
     static final String BUDGET_USED_UP = "retry budget used up";
 
+    /** Number of refusals without an event between them that are followed by a retry at once. */
+    private static final int IMMEDIATE_RETRIES = 4;
+
+    /** Longest pause between retries after refusals. */
+    private static final Duration MAX_PAUSE = Duration.ofMillis(1_600);
+
     private final RelayContext context;
     private final StreamCall call;
     private final RetryQueue queue;
     private boolean counted;
+    private int refusals;
     private Optional<String> obstacle = Optional.empty();
     private long sinceNanos;
 
@@ -36,20 +43,32 @@
         counted = false;
     }
 
-    /** Starts the next attempt, or waits for it if it may still serve the caller. */
+    /** Records that an engine refused the stream. */
+    void markRefused() {
+        refusals++;
+    }
+
+    /** Records that the caller was sent events. */
+    void markDelivered() {
+        refusals = 0;
+    }
+
+    /** Starts the next attempt, or waits for it until the timeout. */
     void start() {
         long now = context.clock().nanos();
-        obstacle = startNow();
+        Duration pause = pause(refusals);
+        obstacle = pause.isZero() ? startNow() : Optional.of("engines refuse");
         if (obstacle.isEmpty()) {
             return;
         }
-        long untilNanos = call.startBeforeNanos();
+        long untilNanos = call.timeoutNanos();
         if (now >= untilNanos || (!affordable() && affordableNanos(now) >= untilNanos)) {
             call.abort(call.lastFailureOr(obstacle.get()));
             return;
         }
         sinceNanos = now;
-        queue.add(this, untilNanos, now);
+        long searchNanos = now + max(pause, RetryQueue.SEARCH_INTERVAL).toNanos();
+        queue.add(this, call.callerLeavesNanos(), untilNanos, searchNanos);
         context.trace()
                 .record(
                         new TraceEvent.RetryDeferred(
@@ -58,6 +77,20 @@
                                 Duration.ofNanos(untilNanos - now).toMillis()));
     }
 
+    /** Returns how long to wait after a number of refusals in a row. */
+    static Duration pause(int refusals) {
+        if (refusals <= IMMEDIATE_RETRIES) {
+            return Duration.ZERO;
+        }
+        int doublings = Math.min(refusals - IMMEDIATE_RETRIES, Integer.SIZE / 2);
+        Duration pause = RetryQueue.SEARCH_INTERVAL.multipliedBy(1L << doublings);
+        return pause.compareTo(MAX_PAUSE) < 0 ? pause : MAX_PAUSE;
+    }
+
+    private static Duration max(Duration a, Duration b) {
+        return a.compareTo(b) > 0 ? a : b;
+    }
+
     private long affordableNanos(long now) {
         return context.retryBudget().nextAllowedNanos(call.service(), now);
     }
@@ -106,9 +139,8 @@
 
     @Override
     public void endWait() {
-        String last = affordable() ? obstacle.orElse("") : BUDGET_USED_UP;
-        traceEnd(last);
-        call.abort(call.lastFailureOr(last));
+        traceEnd(affordable() ? obstacle.orElse("") : BUDGET_USED_UP);
+        call.expired();
     }
 
     /** Ends the wait of a stream that ended. */
--- a/src/main/java/hyssopturn/relay/RetryQueue.java
+++ b/src/main/java/hyssopturn/relay/RetryQueue.java
@@ -6,8 +6,8 @@
 import java.util.TreeSet;
 
 /**
- * Streams of a node that wait until they may be retried, in the order in which their callers would
- * leave. Does no I/O; the caller passes in the time.
+ * Streams of a node that wait until they may be sent, in the order in which their callers would
+ * probably leave. Does no I/O; the caller passes in the time.
  */
 final class RetryQueue {
     /** Number of searches for a chain in one tick. */
@@ -18,7 +18,7 @@
 
     private final TreeSet<Waiter> waiters =
             new TreeSet<>(
-                    Comparator.comparingLong((Waiter w) -> w.untilNanos)
+                    Comparator.comparingLong((Waiter w) -> w.leavesNanos)
                             .thenComparingLong(w -> w.number));
     private long added;
 
@@ -30,27 +30,41 @@
         /** Starts the next attempt if possible; returns whether the wait is over. */
         boolean tryStart();
 
-        /** Handles the end of the time in which an attempt would still have served the caller. */
+        /** Handles the end of the time in which an attempt may be started. */
         void endWait();
     }
 
     private static final class Waiter {
         private final Member member;
+        private final long leavesNanos;
         private final long untilNanos;
         private final long number;
         private long nextSearchNanos;
 
-        Waiter(Member member, long untilNanos, long number, long nextSearchNanos) {
+        Waiter(
+                Member member,
+                long leavesNanos,
+                long untilNanos,
+                long number,
+                long nextSearchNanos) {
             this.member = member;
+            this.leavesNanos = leavesNanos;
             this.untilNanos = untilNanos;
             this.number = number;
             this.nextSearchNanos = nextSearchNanos;
         }
     }
 
-    /** Adds a stream that waits until a point in time at the latest. */
-    void add(Member member, long untilNanos, long nowNanos) {
-        waiters.add(new Waiter(member, untilNanos, added++, nowNanos + SEARCH_INTERVAL.toNanos()));
+    /**
+     * Adds a stream that waits.
+     *
+     * @param member the stream
+     * @param leavesNanos when its caller would probably leave, which decides only the order
+     * @param untilNanos when the wait ends at the latest
+     * @param searchNanos when a chain is searched for first
+     */
+    void add(Member member, long leavesNanos, long untilNanos, long searchNanos) {
+        waiters.add(new Waiter(member, leavesNanos, untilNanos, added++, searchNanos));
     }
 
     /** Removes a stream that ended or was started. */
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -255,6 +255,7 @@
         excluded.add(refusing);
         withdrawRefused(attempt.first());
         context.load().recordRefusal(refusing, now());
+        resumption.markRefused();
         recover(attempt, "engine refused");
     }
 
@@ -331,6 +332,7 @@
             return;
         }
         recordDelivery();
+        resumption.markDelivered();
         if (attempt.countDelivery() == DELIVERIES_OF_BEGUN_ANSWER) {
             begun = true;
             context.prompts().begun(sharedParts());
@@ -439,10 +441,15 @@
         return admitted.service();
     }
 
-    /** Returns until when another chain would still serve the caller of an answer that began. */
-    long startBeforeNanos() {
-        long timeoutNanos = admitted.arrivedNanos() + admitted.timeout().toNanos();
-        return CallerPatience.startBeforeNanos(admitted.route(), lastDeliveryNanos(), timeoutNanos);
+    /** Returns the time at which the request's timeout expires. */
+    long timeoutNanos() {
+        return admitted.arrivedNanos() + admitted.timeout().toNanos();
+    }
+
+    /** Returns when the caller of an answer that began would probably leave. */
+    long callerLeavesNanos() {
+        return CallerPatience.startBeforeNanos(
+                admitted.route(), lastDeliveryNanos(), timeoutNanos());
     }
 
     @Override
