--- a/src/main/java/hyssopturn/fleet/Roster.java
+++ b/src/main/java/hyssopturn/fleet/Roster.java
@@ -35,6 +35,9 @@
     /** How long a report of another node excludes an endpoint unless this node confirms it. */
     public static final Duration REPORT_VALIDITY = Duration.ofSeconds(1);
 
+    /** Time under suspicion during which an endpoint may only be silent. */
+    public static final Duration SILENCE_TOLERANCE = Duration.ofSeconds(2);
+
     /** Time under suspicion after which other endpoints should replace an endpoint. */
     public static final Duration LOST_AFTER = Duration.ofMillis(300);
 
@@ -200,6 +203,17 @@
         return find(endpoint).filter(e -> e.clearSuspicion(nowNanos)).isPresent();
     }
 
+    /**
+     * Records that an endpoint works on a request, which ends any suspicion.
+     *
+     * @param endpoint the endpoint
+     * @param nowNanos time now
+     * @return true if it was under suspicion and is not any more
+     */
+    public boolean recordWork(Endpoint endpoint, long nowNanos) {
+        return find(endpoint).filter(e -> e.endSuspicion(nowNanos)).isPresent();
+    }
+
     /**
      * Lists the endpoints that are under suspicion only because of reports of other nodes.
      *
@@ -462,6 +476,17 @@
         return list(e -> e.serves(service) && present(e, nowNanos));
     }
 
+    /**
+     * Lists the usable endpoints of a service together with those that may only be silent.
+     *
+     * @param service name of the service
+     * @param nowNanos time now
+     * @return the endpoints, in no particular order
+     */
+    public List<Endpoint> usableOrSilent(String service, long nowNanos) {
+        return list(e -> e.serves(service) && present(e, nowNanos) && e.brieflySuspected(nowNanos));
+    }
+
     /**
      * Lists the endpoints of a service that are expected to continue: they are listed, are not
      * leaving, and have not been under suspicion for long.
--- a/src/main/java/hyssopturn/fleet/RosterEntry.java
+++ b/src/main/java/hyssopturn/fleet/RosterEntry.java
@@ -72,6 +72,13 @@
         return refuted;
     }
 
+    /** Ends any suspicion; returns true if there was one. */
+    boolean endSuspicion(long nowNanos) {
+        boolean suspected = suspected(nowNanos);
+        suspicion = Optional.empty();
+        return suspected;
+    }
+
     boolean suspected(long nowNanos) {
         return activeSuspicion(nowNanos).isPresent();
     }
@@ -93,6 +100,11 @@
                 && !suspectedFor(Roster.LOST_AFTER, nowNanos);
     }
 
+    /** Returns whether nothing but a short silence speaks against the endpoint. */
+    boolean brieflySuspected(long nowNanos) {
+        return !suspectedFor(Roster.SILENCE_TOLERANCE, nowNanos);
+    }
+
     private boolean unreadableFor(Duration period, long nowNanos) {
         return unreadableNanos.filter(since -> nowNanos - since > period.toNanos()).isPresent();
     }
--- a/src/main/java/hyssopturn/relay/ChainFinder.java
+++ b/src/main/java/hyssopturn/relay/ChainFinder.java
@@ -70,6 +70,18 @@
         return search(roster().usableOrSuspected(service, now()), first, excluded);
     }
 
+    /** Returns whether there is a chain with room once engines that may only be silent go on. */
+    boolean blockedBySilence(Predicate<Endpoint> first, Set<InstanceId> excluded) {
+        long now = now();
+        List<Endpoint> engines =
+                roster().usableOrSilent(service, now).stream()
+                        .filter(e -> !context.load().recentlyRefused(e.id(), now))
+                        .toList();
+        return search(engines, first, excluded).stream()
+                .flatMap(chain -> chain.hops().stream())
+                .anyMatch(hop -> roster().suspected(hop.engine(), now));
+    }
+
     /**
      * Finds a chain for a request that would be refused without one; it may include engines that
      * announced their shutdown a short time ago.
--- a/src/main/java/hyssopturn/relay/Resumption.java
+++ b/src/main/java/hyssopturn/relay/Resumption.java
@@ -66,6 +66,8 @@
             call.abort(call.lastFailureOr(obstacle.get()));
             return;
         }
+        // a unit of the budget that was paid long before it is used would be counted too early
+        counted = false;
         sinceNanos = now;
         long searchNanos = now + max(pause, RetryQueue.SEARCH_INTERVAL).toNanos();
         queue.add(this, call.callerLeavesNanos(), untilNanos, searchNanos);
--- a/src/main/java/hyssopturn/relay/StallDetector.java
+++ b/src/main/java/hyssopturn/relay/StallDetector.java
@@ -179,6 +179,28 @@
         return true;
     }
 
+    /** Ends suspicions against the engines of an attempt that was late and delivers events. */
+    void recordEvents(StreamAttempt attempt) {
+        long now = context.clock().nanos();
+        if (!attempt.eventWait().checkDue(now)) {
+            return;
+        }
+        attempt.chain().hops().stream().map(Hop::engine).forEach(e -> clearSuspicion(e, now));
+    }
+
+    private void clearSuspicion(Endpoint engine, long now) {
+        if (context.routingState().roster().recordWork(engine, now)) {
+            context.trace()
+                    .record(
+                            new TraceEvent.EndpointChanged(
+                                    engine.id().value(),
+                                    engine.service(),
+                                    "listed",
+                                    "",
+                                    "delivers events"));
+        }
+    }
+
     private void handleUnreachable(Endpoint endpoint) {
         List<StreamCall> waiting = streams.stream().filter(s -> uses(s, endpoint)).toList();
         if (markSuspected(endpoint, Evidence.UNREACHABLE, waiting, "does not accept connections")) {
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -45,6 +45,7 @@
     private final StreamPace pace = new StreamPace();
     private final ChainMoves moves;
     private final Resumption resumption;
+    private final SilenceWait silenceWait;
     private final Set<InstanceId> avoidedFirst = new HashSet<>();
     private boolean moved;
     private boolean begun;
@@ -63,6 +64,7 @@
         attempts = new StreamAttempts(admitted.headers().resumeAfter());
         moves = new ChainMoves(context, this, chainFinder);
         resumption = new Resumption(context, this, stallDetector.retryQueue());
+        silenceWait = new SilenceWait(context, this, stallDetector.retryQueue());
     }
 
     @Override
@@ -74,15 +76,27 @@
             resumption.start();
             return;
         }
-        Optional<String> obstacle = tryStart();
-        if (obstacle.isPresent()) {
-            giveUp(lastFailureOr(obstacle.get()));
+        if (tryStartWithCapacity().isPresent() && !silenceWait.start()) {
+            startOrGiveUp();
         }
     }
 
+    /** Starts an attempt on any chain, or ends a request that has no answer yet. */
+    void startOrGiveUp() {
+        tryStart().ifPresent(obstacle -> giveUp(lastFailureOr(obstacle)));
+    }
+
     /** Starts an attempt if possible; returns what stands in its way, empty if nothing does. */
     Optional<String> tryStart() {
-        Optional<EngineChain> found = findNextChain();
+        return tryStart(findNextChain());
+    }
+
+    /** Starts an attempt if there is a chain of engines that have not refused one recently. */
+    Optional<String> tryStartWithCapacity() {
+        return tryStart(findChainWithCapacity(excluded));
+    }
+
+    private Optional<String> tryStart(Optional<EngineChain> found) {
         if (found.isEmpty()) {
             return Optional.of("no chain");
         }
@@ -136,6 +150,11 @@
         return moved ? chainFinder.findSuspected(this::mayAttempt, excluded) : Optional.empty();
     }
 
+    /** Returns whether a chain with room would be at hand if silent engines went on. */
+    boolean blockedBySilence() {
+        return chainFinder.blockedBySilence(this::mayAttempt, excluded);
+    }
+
     /** Sends the request to a chain, beside the attempt that holds the stream if there is one. */
     private void startOn(EngineChain found) {
         StreamAttempts.Begin begin = attempts.begin();
@@ -331,6 +350,7 @@
         if (ready.length() == 0) {
             return;
         }
+        stallDetector.recordEvents(attempt);
         recordDelivery();
         resumption.markDelivered();
         if (attempt.countDelivery() == DELIVERIES_OF_BEGUN_ANSWER) {
@@ -452,6 +472,14 @@
                 admitted.route(), lastDeliveryNanos(), timeoutNanos());
     }
 
+    /** Returns until when the first attempt may be started. */
+    long firstStartBeforeNanos() {
+        return CallerPatience.startBeforeNanos(
+                admitted.route(),
+                admitted.arrivedNanos(),
+                admitted.arrivedNanos() + admitted.timeToAnswer().toNanos());
+    }
+
     @Override
     void release() {
         List<StreamAttempt> cancelled = List.copyOf(open.values());
@@ -460,6 +488,7 @@
         cancelled.forEach(StreamAttempt::cancel);
         stallDetector.remove(this);
         resumption.release();
+        silenceWait.release();
     }
 
     @Override
