--- a/src/main/java/hyssopturn/chain/InterZoneBudget.java
+++ b/src/main/java/hyssopturn/chain/InterZoneBudget.java
@@ -16,7 +16,7 @@
  * zone, all of them would wait for the link until their callers give up. Each node therefore uses
  * an equal share of each link's time; a request that does not fit continues on other engines or is
  * refused. This bounds the load on each link when an engine that many streams use fails, and when a
- * zone lacks a layer.
+ * zone lacks a layer. A part of each share is kept for streams that began and lost their chain.
  */
 public final class InterZoneBudget {
     /**
@@ -25,6 +25,9 @@
      */
     private static final Duration BURST = Duration.ofSeconds(5);
 
+    /** Part of a full share that is left for streams whose callers have received events. */
+    private static final double BEGUN_PART = 0.3;
+
     private static final double MILLIS = 1_000;
     private static final double MILLI_NANOS = 1_000_000;
     private static final double BITS_PER_BYTE = 8;
@@ -42,6 +45,14 @@
         nodes(nodes);
     }
 
+    /** What link time is needed for. */
+    public enum Use {
+        /** A request of which the caller has received nothing, or which still has its chain. */
+        NEW,
+        /** A stream that began and is lost without another chain. */
+        BEGUN
+    }
+
     /** Transfer time that is left on one link, in milliseconds. */
     private static final class Bucket {
         private double availableMillis;
@@ -74,14 +85,16 @@
      * @param links links between zones that they pass
      * @param promptTokens tokens whose activations are sent at once
      * @param spec sizes and speeds
+     * @param use what the link time is needed for
      * @param nowNanos time now
      * @return true if the chain may be used; its time is then deducted
      */
     public boolean tryAcquire(
-            List<ZoneLink> links, long promptTokens, EngineSpec spec, long nowNanos) {
+            List<ZoneLink> links, long promptTokens, EngineSpec spec, Use use, long nowNanos) {
+        double reserved = use == Use.BEGUN ? 0 : BEGUN_PART * burstMillis(1 / nodes);
         boolean available = true;
         for (ZoneLink link : links) {
-            available &= refilled(link, nowNanos).availableMillis > 0;
+            available &= refilled(link, nowNanos).availableMillis > reserved;
         }
         if (available) {
             double millis = transferMillis(promptTokens, spec);
--- a/src/main/java/hyssopturn/relay/ChainFinder.java
+++ b/src/main/java/hyssopturn/relay/ChainFinder.java
@@ -4,6 +4,7 @@
 import hyssopturn.chain.ChainSearch;
 import hyssopturn.chain.EngineChain;
 import hyssopturn.chain.Hop;
+import hyssopturn.chain.InterZoneBudget;
 import hyssopturn.chain.ZoneLink;
 import hyssopturn.fleet.Endpoint;
 import hyssopturn.fleet.Roster;
@@ -147,8 +148,8 @@
     }
 
     /** Reserves transfer time of the prompt on links between zones, from this node's share. */
-    boolean reserveZoneLinks(List<ZoneLink> links) {
-        return context.zoneLinks().tryAcquire(links, size.promptTokens(), spec, now());
+    boolean reserveZoneLinks(List<ZoneLink> links, InterZoneBudget.Use use) {
+        return context.zoneLinks().tryAcquire(links, size.promptTokens(), spec, use, now());
     }
 
     /** Converts a chain to the form that is sent to engines. */
--- a/src/main/java/hyssopturn/relay/ChainMoves.java
+++ b/src/main/java/hyssopturn/relay/ChainMoves.java
@@ -1,6 +1,7 @@
 package hyssopturn.relay;
 
 import hyssopturn.chain.EngineChain;
+import hyssopturn.chain.InterZoneBudget;
 import hyssopturn.chain.ZoneLink;
 import hyssopturn.fleet.Endpoint;
 import hyssopturn.model.InstanceId;
@@ -86,7 +87,7 @@
     }
 
     private boolean reserve(List<ZoneLink> links) {
-        return chainFinder.reserveZoneLinks(links);
+        return chainFinder.reserveZoneLinks(links, InterZoneBudget.Use.NEW);
     }
 
     private void keepWaiting(String cause, Endpoint suspect, String obstacle) {
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -2,6 +2,7 @@
 
 import hyssopturn.catalog.EngineSpec;
 import hyssopturn.chain.EngineChain;
+import hyssopturn.chain.InterZoneBudget;
 import hyssopturn.fleet.Endpoint;
 import hyssopturn.model.InstanceId;
 
@@ -100,7 +101,9 @@
         if (found.isEmpty()) {
             return Optional.of("no chain");
         }
-        if (!chainFinder.reserveZoneLinks(found.get().links())) {
+        InterZoneBudget.Use use =
+                response.headWritten() ? InterZoneBudget.Use.BEGUN : InterZoneBudget.Use.NEW;
+        if (!chainFinder.reserveZoneLinks(found.get().links(), use)) {
             return Optional.of("no chain within a zone");
         }
         startOn(found.get());
--- a/src/test/java/hyssopturn/chain/InterZoneBudgetTest.java
+++ b/src/test/java/hyssopturn/chain/InterZoneBudgetTest.java
@@ -1,6 +1,8 @@
 package hyssopturn.chain;
 
 import static hyssopturn.chain.Engines.SPEC;
+import static hyssopturn.chain.InterZoneBudget.Use.BEGUN;
+import static hyssopturn.chain.InterZoneBudget.Use.NEW;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.both;
@@ -40,7 +42,7 @@
                 long now = second * 1_000L * MILLI_NANOS;
                 InterZoneBudget budget = budgets.get(stream % budgets.size());
                 ZoneLink link = links.get(stream / budgets.size() % links.size());
-                if (budget.tryAcquire(List.of(link, link), PROMPT, SPEC, now)) {
+                if (budget.tryAcquire(List.of(link, link), PROMPT, SPEC, NEW, now)) {
                     used += 2 * TRANSFER;
                 }
             }
@@ -74,19 +76,37 @@
         InterZoneBudget budget = new InterZoneBudget(400);
         empty(budget);
         ZoneLink other = ZoneLink.between("z2", "z0");
-        assertThat(budget.tryAcquire(List.of(other, LINK), PROMPT, SPEC, 0), is(false));
-        assertThat(budget.tryAcquire(List.of(other), PROMPT, SPEC, 0), is(true));
+        assertThat(budget.tryAcquire(List.of(other, LINK), PROMPT, SPEC, NEW, 0), is(false));
+        assertThat(budget.tryAcquire(List.of(other), PROMPT, SPEC, NEW, 0), is(true));
     }
 
     @Test
     void aChainWithinOneZoneNeedsNoBudget() {
         InterZoneBudget budget = new InterZoneBudget(400);
         empty(budget);
-        assertThat(budget.tryAcquire(List.of(), PROMPT, SPEC, 0), is(true));
+        assertThat(budget.tryAcquire(List.of(), PROMPT, SPEC, NEW, 0), is(true));
+    }
+
+    @Test
+    void newRequestsLeaveLinkTimeToStreamsThatLostTheirChain() {
+        InterZoneBudget budget = new InterZoneBudget(7);
+        empty(budget);
+        assertThat(budget.tryAcquire(List.of(LINK), PROMPT, SPEC, NEW, 0), is(false));
+        assertThat(budget.tryAcquire(List.of(LINK), PROMPT, SPEC, BEGUN, 0), is(true));
+    }
+
+    @Test
+    void streamsThatLostTheirChainStayWithinTheShareToo() {
+        InterZoneBudget budget = new InterZoneBudget(7);
+        double used = 0;
+        while (budget.tryAcquire(List.of(LINK), PROMPT, SPEC, BEGUN, 0)) {
+            used += TRANSFER;
+        }
+        assertThat(used, lessThanOrEqualTo(5 * 1_000 / 7.0 + TRANSFER));
     }
 
     private static void empty(InterZoneBudget budget) {
-        while (budget.tryAcquire(List.of(LINK), PROMPT, SPEC, 0)) {
+        while (budget.tryAcquire(List.of(LINK), PROMPT, SPEC, NEW, 0)) {
             // empties the bucket
         }
     }
