--- a/src/main/java/hyssopturn/fleet/Evidence.java
+++ b/src/main/java/hyssopturn/fleet/Evidence.java
@@ -8,6 +8,9 @@
     /** This node could not connect to it. */
     UNREACHABLE,
 
+    /** It refused a connection of this node, so its process has ended. */
+    REFUSING,
+
     /** An engine waits for it, or it did not answer a query. */
     UNRESPONSIVE
 }
--- a/src/main/java/hyssopturn/fleet/Roster.java
+++ b/src/main/java/hyssopturn/fleet/Roster.java
@@ -431,6 +431,18 @@
         return find(endpoint).filter(e -> e.suspected(nowNanos)).isPresent();
     }
 
+    /**
+     * Returns whether an endpoint has failed as far as this node can tell: it is not known any
+     * more, refuses connections, or has been under suspicion for longer than a sound one is silent.
+     *
+     * @param endpoint the endpoint
+     * @param nowNanos time now
+     * @return true if nothing is to be expected of it
+     */
+    public boolean lost(Endpoint endpoint, long nowNanos) {
+        return find(endpoint).filter(e -> e.mayBeSilent(nowNanos)).isEmpty();
+    }
+
     private boolean present(RosterEntry entry, long nowNanos) {
         return entry.accepting(nowNanos) && listed(entry, nowNanos);
     }
@@ -484,7 +496,7 @@
      * @return the endpoints, in no particular order
      */
     public List<Endpoint> usableOrSilent(String service, long nowNanos) {
-        return list(e -> e.serves(service) && present(e, nowNanos) && e.brieflySuspected(nowNanos));
+        return list(e -> e.serves(service) && present(e, nowNanos) && e.mayBeSilent(nowNanos));
     }
 
     /**
--- a/src/main/java/hyssopturn/fleet/RosterEntry.java
+++ b/src/main/java/hyssopturn/fleet/RosterEntry.java
@@ -53,7 +53,9 @@
             return false;
         }
         long sinceNanos = earlier.map(Suspicion::sinceNanos).orElse(nowNanos);
-        suspicion = Optional.of(new Suspicion(evidence, sinceNanos, nowNanos));
+        boolean refusing = earlier.filter(s -> s.evidence() == Evidence.REFUSING).isPresent();
+        Evidence strongest = refusing ? Evidence.REFUSING : evidence;
+        suspicion = Optional.of(new Suspicion(strongest, sinceNanos, nowNanos));
         return earlier.isEmpty() || (reportedOnly && evidence != Evidence.REPORT);
     }
 
@@ -101,8 +103,12 @@
     }
 
     /** Returns whether nothing but a short silence speaks against the endpoint. */
-    boolean brieflySuspected(long nowNanos) {
-        return !suspectedFor(Roster.SILENCE_TOLERANCE, nowNanos);
+    boolean mayBeSilent(long nowNanos) {
+        boolean refusing =
+                activeSuspicion(nowNanos)
+                        .filter(s -> s.evidence() == Evidence.REFUSING)
+                        .isPresent();
+        return !refusing && !suspectedFor(Roster.SILENCE_TOLERANCE, nowNanos);
     }
 
     private boolean unreadableFor(Duration period, long nowNanos) {
--- a/src/main/java/hyssopturn/node/ConnectProbe.java
+++ b/src/main/java/hyssopturn/node/ConnectProbe.java
@@ -42,7 +42,7 @@
                         error ->
                                 timedOut(error)
                                         ? retry(address, reference)
-                                        : Future.succeededFuture(Liveness.FAILED))
+                                        : Future.succeededFuture(Liveness.REFUSED))
                 .toCompletionStage()
                 .toCompletableFuture();
     }
@@ -56,7 +56,7 @@
                         error ->
                                 timedOut(error)
                                         ? networkWorks.map(ConnectProbe::silent)
-                                        : Future.succeededFuture(Liveness.FAILED));
+                                        : Future.succeededFuture(Liveness.REFUSED));
     }
 
     /** Returns whether an address accepts or refuses a connection before the timeout. */
--- a/src/main/java/hyssopturn/relay/EndpointChecks.java
+++ b/src/main/java/hyssopturn/relay/EndpointChecks.java
@@ -1,6 +1,7 @@
 package hyssopturn.relay;
 
 import hyssopturn.fleet.Endpoint;
+import hyssopturn.fleet.Evidence;
 import hyssopturn.fleet.Roster;
 import hyssopturn.model.Address;
 import hyssopturn.model.InstanceId;
@@ -126,17 +127,27 @@
     private void handle(Endpoint endpoint, Liveness result) {
         switch (result) {
             case LISTENS -> clear(endpoint);
-            case FAILED -> {
-                failureListener.accept(endpoint);
-                if (rechecking.add(endpoint.id())) {
-                    recheckAfter(endpoint, FIRST_RECHECK_DELAY);
-                }
+            case FAILED -> handleFailure(endpoint);
+            case REFUSED -> {
+                handleFailure(endpoint);
+                roster().suspect(
+                                endpoint.id(),
+                                endpoint.incarnation(),
+                                Evidence.REFUSING,
+                                context.clock().nanos());
             }
             case UNKNOWN ->
                     context.clock().after(UNKNOWN_RETRY_DELAY, () -> pacing.forget(endpoint.id()));
         }
     }
 
+    private void handleFailure(Endpoint endpoint) {
+        failureListener.accept(endpoint);
+        if (rechecking.add(endpoint.id())) {
+            recheckAfter(endpoint, FIRST_RECHECK_DELAY);
+        }
+    }
+
     private void recheckAfter(Endpoint endpoint, Duration delay) {
         context.clock().after(delay, () -> recheck(endpoint, delay));
     }
@@ -186,7 +197,9 @@
                 .probe(endpoint.address(), reference(endpoint))
                 .thenAccept(
                         result -> {
-                            boolean doubtful = result == Liveness.FAILED && !onTime();
+                            boolean failed =
+                                    result == Liveness.FAILED || result == Liveness.REFUSED;
+                            boolean doubtful = failed && !onTime();
                             Liveness shown = doubtful ? Liveness.UNKNOWN : result;
                             count(shown);
                             handler.accept(shown);
--- a/src/test/java/hyssopturn/node/ConnectProbeTest.java
+++ b/src/test/java/hyssopturn/node/ConnectProbeTest.java
@@ -55,7 +55,7 @@
 
     @Test
     void reportsNoProcessOnAClosedPort() throws IOException {
-        assertThat(probe(closedPort()), is(Liveness.FAILED));
+        assertThat(probe(closedPort()), is(Liveness.REFUSED));
     }
 
     @Test
--- a/src/test/java/hyssopturn/platform/HeldStreamsTest.java
+++ b/src/test/java/hyssopturn/platform/HeldStreamsTest.java
@@ -6,6 +6,8 @@
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.notNullValue;
 
+import hyssopturn.model.Address;
+import hyssopturn.model.LayerRange;
 import hyssopturn.trace.TraceEvent;
 
 import io.vertx.core.Handler;
@@ -20,6 +22,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -139,6 +142,16 @@
             assertThat(harness.logged(TraceEvent.RetryDeferred.class), equalTo(0L));
         }
 
+        @Test
+        void atOnceWhenTheOnlyEngineRefusesConnections() {
+            harness.announce("e1", new Address("127.0.0.1", 1), Optional.of(new LayerRange(0, 80)));
+            long begun = System.nanoTime();
+            assertRefused(harness.call("/write/x", Map.of()));
+            assertThat(
+                    Duration.ofNanos(System.nanoTime() - begun), lessThan(Duration.ofSeconds(1)));
+            assertThat(harness.logged(TraceEvent.RetryDeferred.class), equalTo(0L));
+        }
+
         @Test
         void onceTheSilentEngineIsGone() {
             var first = beginSilence();
