--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -264,7 +264,7 @@
             attemptedEndpoints.markEnded(endpoint);
             context.routingState()
                     .roster()
-                    .suspect(endpoint.id(), endpoint.incarnation(), Evidence.UNREACHABLE, now());
+                    .suspect(endpoint.id(), endpoint.incarnation(), Evidence.REFUSING, now());
         }
         checks.check(endpoint);
     }
@@ -372,7 +372,7 @@
         recordFailure(endpoint, cause, fault, false, next);
     }
 
-    /** Records that the last attempt that failed does not count as one. */
+    /** Records that an attempt ended without making the request fail, so that it does not count. */
     final void markUncounted() {
         uncounted++;
     }
--- a/src/main/java/hyssopturn/relay/ChainFinder.java
+++ b/src/main/java/hyssopturn/relay/ChainFinder.java
@@ -159,6 +159,12 @@
                 .toList();
     }
 
+    /** Returns whether a chain has an engine of which nothing is to be expected any more. */
+    boolean lost(EngineChain chain) {
+        long now = now();
+        return chain.hops().stream().anyMatch(hop -> roster().lost(hop.engine(), now));
+    }
+
     /** Finds an engine behind the first one that is about to shut down. */
     Optional<Endpoint> findDeparting(EngineChain chain, Set<InstanceId> excluded) {
         long now = now();
--- a/src/main/java/hyssopturn/relay/ChainMoves.java
+++ b/src/main/java/hyssopturn/relay/ChainMoves.java
@@ -74,6 +74,11 @@
             keepWaiting(cause, suspect, obstacle.get());
             return;
         }
+        Optional<StreamAttempt> lost = call.findLost();
+        if (call.twoOpen() && lost.isEmpty()) {
+            keepWaiting(cause, suspect, "two attempts open");
+            return;
+        }
         Optional<EngineChain> other = findReplacement(suspect);
         if (other.isEmpty()) {
             keepWaiting(cause, suspect, "no other chain");
@@ -83,6 +88,9 @@
             keepWaiting(cause, suspect, "no other chain within a zone");
             return;
         }
+        if (call.twoOpen()) {
+            lost.ifPresent(call::drop);
+        }
         call.tryBeside(other.get(), cause, suspect);
     }
 
@@ -103,7 +111,8 @@
         unusable.add(suspect.id());
         context.load().remove(present, chainFinder.tokens());
         try {
-            return call.findChainWithCapacity(unusable);
+            return call.findChainWithCapacity(unusable)
+                    .or(() -> call.findChainAgain(Set.of(suspect.id())));
         } finally {
             context.load().add(present, chainFinder.tokens());
         }
@@ -246,6 +255,7 @@
         Endpoint first = attempt.get().first();
         context.load().recordRefusal(first.id(), nowNanos);
         if (attempt.get().eventWait().switchDue(nowNanos)
+                && !call.twoOpen()
                 && call.mayRetryElsewhere()
                 && call.replacementObstacle().isEmpty()) {
             call.guarded(() -> tryBesideQueue(first));
--- a/src/main/java/hyssopturn/relay/Resumption.java
+++ b/src/main/java/hyssopturn/relay/Resumption.java
@@ -62,10 +62,6 @@
             return;
         }
         long untilNanos = call.timeoutNanos();
-        if (now >= untilNanos || (!affordable() && affordableNanos(now) >= untilNanos)) {
-            call.abort(call.lastFailureOr(obstacle.get()));
-            return;
-        }
         // a unit of the budget that was paid long before it is used would be counted too early
         counted = false;
         sinceNanos = now;
@@ -93,10 +89,6 @@
         return a.compareTo(b) > 0 ? a : b;
     }
 
-    private long affordableNanos(long now) {
-        return context.retryBudget().nextAllowedNanos(call.service(), now);
-    }
-
     /** Starts the next attempt; returns what stands in its way, empty if nothing does. */
     private Optional<String> startNow() {
         if (!affordable()) {
--- a/src/main/java/hyssopturn/relay/RetryBudget.java
+++ b/src/main/java/hyssopturn/relay/RetryBudget.java
@@ -139,30 +139,6 @@
         return SAFETY_FACTOR * (ratio * Window.sum(window.requests) + share * fixed);
     }
 
-    /**
-     * Returns when the budget allows a retry of a started answer if requests keep arriving as in
-     * the last window and no other retry is made.
-     *
-     * @param service service of the request
-     * @param nowNanos current time, not negative
-     * @return the time, {@code Long.MAX_VALUE} if the budget is too small for any retry
-     */
-    public long nextAllowedNanos(String service, long nowNanos) {
-        Window window = window(service, nowNanos);
-        double allowed = allowed(window);
-        long left = Window.sum(window.retries);
-        if (left + 1 <= allowed) {
-            return nowNanos;
-        }
-        for (long bucket = window.bucket + 1; bucket <= window.bucket + BUCKETS; bucket++) {
-            left -= window.retries[(int) (bucket % BUCKETS)];
-            if (left + 1 <= allowed) {
-                return bucket * bucketNanos;
-            }
-        }
-        return Long.MAX_VALUE;
-    }
-
     /**
      * Uses the budget for one retry if it allows one.
      *
--- a/src/main/java/hyssopturn/relay/StreamAttempt.java
+++ b/src/main/java/hyssopturn/relay/StreamAttempt.java
@@ -23,7 +23,6 @@
     private final int id;
     private final long tokens;
     private final long begunNanos;
-    private final boolean earlierMayHaveRun;
     private final EventWait wait;
     private final EventFramer framer = new EventFramer();
     private EngineChain chain;
@@ -38,7 +37,7 @@
      *
      * @param id number of the attempt within the stream
      * @param tokens number of tokens that it may hold at an engine
-     * @param earlierMayHaveRun whether an earlier attempt may have run
+     * @param pace time between the events of the stream
      */
     StreamAttempt(
             RelayContext context,
@@ -46,14 +45,12 @@
             int id,
             EngineChain chain,
             long tokens,
-            boolean earlierMayHaveRun,
             StreamPace pace) {
         this.context = context;
         this.call = call;
         this.id = id;
         this.chain = chain;
         this.tokens = tokens;
-        this.earlierMayHaveRun = earlierMayHaveRun;
         begunNanos = context.clock().nanos();
         wait = new EventWait(context.settings(), pace);
         wait.attemptStarted(begunNanos);
@@ -192,7 +189,7 @@
                         .orElse(first())
                         .id();
         refusingEngine = Optional.of(refusing);
-        call.refused(this, refusing, earlierMayHaveRun);
+        call.refused(this, refusing);
     }
 
     private void handleBytes(HttpClientResponse answer, ReadPacer pacer, Buffer bytes) {
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -48,6 +48,7 @@
     private final Resumption resumption;
     private final SilenceWait silenceWait;
     private final Set<InstanceId> avoidedFirst = new HashSet<>();
+    private int possibleRuns;
     private boolean moved;
     private boolean begun;
     private boolean lossSuspected;
@@ -127,8 +128,13 @@
      * time ago may have room again.
      */
     private Optional<EngineChain> findRecovered() {
+        return findChainAgain(Set.of());
+    }
+
+    /** Finds a chain for an answer that began, also of engines that refused it some time ago. */
+    Optional<EngineChain> findChainAgain(Set<InstanceId> unusable) {
         return response.headWritten()
-                ? chainFinder.findWithCapacity(this::mayAttempt, Set.of())
+                ? chainFinder.findWithCapacity(this::mayAttempt, unusable)
                 : Optional.empty();
     }
 
@@ -163,8 +169,7 @@
         StreamAttempts.Begin begin = attempts.begin();
         begin.cancelled().ifPresent(this::cancelAttempt);
         StreamAttempt attempt =
-                new StreamAttempt(
-                        context, this, begin.id(), found, chainFinder.tokens(), mayHaveRun(), pace);
+                new StreamAttempt(context, this, begin.id(), found, chainFinder.tokens(), pace);
         open.put(begin.id(), attempt);
         attempt.start(attempts.lastDelivered());
     }
@@ -227,6 +232,7 @@
             leaveUnsent(attempt);
             return false;
         }
+        possibleRuns++;
         markSending();
         resumption.markSent();
         stallDetector.add(this);
@@ -264,16 +270,17 @@
      * first engine but not excluded.
      */
     void connectionFailed(StreamAttempt attempt) {
+        if (stale(attempt)) {
+            return;
+        }
         avoidFirst(attempt.first());
         cutOff(attempt, "connection failed");
     }
 
     /** Handles the refusal of an engine, which may be a later one of the chain. */
-    void refused(StreamAttempt attempt, InstanceId refusing, boolean earlierMayHaveRun) {
-        // a later attempt may have run, whatever an earlier one says of itself
-        if (newest().filter(attempt::equals).isPresent()) {
-            markNotRun(earlierMayHaveRun);
-        }
+    void refused(StreamAttempt attempt, InstanceId refusing) {
+        possibleRuns--;
+        markNotRun(possibleRuns > 0);
         excluded.add(refusing);
         withdrawRefused(attempt.first());
         context.load().recordRefusal(refusing, now());
@@ -345,6 +352,7 @@
     private void leaveBehind(int id) {
         String which = open.firstEntry().getKey() == id ? "moved" : "stayed";
         context.meters().counter("hyssopturn.stream.pairs", "result", which).increment();
+        markUncounted();
         cancelAttempt(id);
     }
 
@@ -406,14 +414,10 @@
         if (stale(attempt)) {
             return;
         }
-        boolean wasBeside = newest().filter(attempt::equals).isPresent();
         Endpoint first = attempt.first();
         Optional<InstanceId> fault = attempt.refusingEngine();
         if (close(attempt)) {
             recordFailure(first, cause, fault, OTHER_GOES_ON);
-            if (wasBeside) {
-                markUncounted();
-            }
         } else if (response.headWritten()) {
             continueBegun(first, cause, fault);
         } else if (acquireRetry(first, cause, fault)) {
@@ -445,6 +449,22 @@
         return open.isEmpty() ? Optional.empty() : Optional.of(open.lastEntry().getValue());
     }
 
+    /** Finds an open attempt whose chain has lost an engine. */
+    Optional<StreamAttempt> findLost() {
+        return open.values().stream().filter(a -> chainFinder.lost(a.chain())).findFirst();
+    }
+
+    /** Cancels an attempt while the other one goes on. */
+    void drop(StreamAttempt attempt) {
+        recordFailure(attempt.first(), "engine lost", attempt.refusingEngine(), OTHER_GOES_ON);
+        close(attempt);
+    }
+
+    /** Returns whether an attempt is open beside the one that holds the stream. */
+    boolean twoOpen() {
+        return attempts.twoOpen();
+    }
+
     /** Returns whether another attempt is open at the same first engine. */
     boolean sharesFirst(StreamAttempt attempt) {
         return open.values().stream()
--- a/src/test/java/hyssopturn/platform/MovedStreamsTest.java
+++ b/src/test/java/hyssopturn/platform/MovedStreamsTest.java
@@ -193,6 +193,29 @@
         }
     }
 
+    @Nested
+    class LeaveAnEngineThatStaysSilent {
+        private final AtomicInteger refusals = new AtomicInteger();
+
+        private void refuseOnce(HttpServerRequest request) {
+            if (refusals.getAndIncrement() == 0) {
+                refuse(request);
+            } else {
+                finish(request);
+            }
+        }
+
+        @Test
+        void forAnotherThatRefusedThemBefore() {
+            Duration forever = Duration.ofMinutes(1);
+            assertWhole(
+                    call(
+                            silentFor(forever, 1),
+                            () -> harness.engine("e2", other(this::refuseOnce))));
+            assertThat(moves.get(), equalTo(2));
+        }
+    }
+
     @Nested
     class ManyAtOnce {
         @Test
