--- a/src/main/java/hyssopturn/limit/EndpointLimits.java
+++ b/src/main/java/hyssopturn/limit/EndpointLimits.java
@@ -31,12 +31,6 @@
     /** Time for which an endpoint is left alone whose issuer is not known or did not answer. */
     private static final Duration UNKNOWN_PAUSE = Duration.ofMillis(50);
 
-    /** Time after which a limit of which nothing was heard counts as unused. */
-    private static final Duration ACTIVE_TIME = Duration.ofSeconds(30);
-
-    /** Time after which a limit is forgotten of which nothing was heard. */
-    private static final Duration FORGET_AFTER = Duration.ofMinutes(10);
-
     /** Number of nodes that a node asks for what they know when it starts. */
     private static final int MAX_HELLOS = 2;
 
@@ -46,24 +40,11 @@
     private final LimitChannel channel;
     private final GrantIssuer issuer;
     private final IssuerDirectory directory;
-    private final Map<EndpointStart, Known> known = new HashMap<>();
+    private final OwnParts own;
+    private final KnownLimits known = new KnownLimits();
     private final Map<Long, Question> questions = new HashMap<>();
     private long lastQuestion;
 
-    private static final class Known {
-        private NamedLimit named;
-        private long closedUntilNanos;
-
-        Known(NamedLimit named, long nowNanos) {
-            this.named = named;
-            closedUntilNanos = nowNanos;
-        }
-
-        boolean inUse(long nowNanos) {
-            return named.limited() && nowNanos - named.atNanos() < ACTIVE_TIME.toNanos();
-        }
-    }
-
     private record Question(
             EndpointStart start,
             Address issuer,
@@ -91,6 +72,7 @@
         this.channel = channel;
         issuer = new GrantIssuer(partitions, random);
         directory = new IssuerDirectory(partitions);
+        own = new OwnParts(partitions, clock);
     }
 
     /**
@@ -101,6 +83,7 @@
      */
     public void assign(Set<Integer> partitions, long untilNanos) {
         issuer.assign(partitions, untilNanos);
+        own.assign(partitions, untilNanos);
     }
 
     /**
@@ -114,6 +97,22 @@
         if (first) {
             askOthers();
         }
+        reopen();
+    }
+
+    /** Uses endpoints again that were left alone for lack of an issuer, if there is one now. */
+    private void reopen() {
+        long now = clock.nanos();
+        own.missing().stream()
+                .filter(start -> find(start, now).isPresent())
+                .forEach(start -> known.close(start, now));
+    }
+
+    /** Returns the node to ask for a grant; what this node was assigned itself counts first. */
+    private Optional<IssuerDirectory.Issuer> find(EndpointStart start, long now) {
+        return issuer.confirmed(start, now)
+                ? Optional.of(new IssuerDirectory.Issuer(self, false))
+                : directory.find(start, now);
     }
 
     /** Asks a few nodes for what they know, since a node that has just started knows no limits. */
@@ -128,12 +127,9 @@
 
     private void tellKnown(Address to) {
         long now = clock.nanos();
-        known.forEach(
-                (start, entry) -> {
-                    if (entry.inUse(now)) {
-                        channel.send(to, new LimitMessage.Heard(start, entry.named.tell(now)));
-                    }
-                });
+        known.forEachInUse(
+                now,
+                (start, named) -> channel.send(to, new LimitMessage.Heard(start, named.tell(now))));
     }
 
     /**
@@ -151,8 +147,26 @@
      * @return number of endpoints in use that have a limit
      */
     public long count() {
-        long now = clock.nanos();
-        return known.values().stream().filter(k -> k.inUse(now)).count();
+        return known.count(clock.nanos());
+    }
+
+    /**
+     * Counts the endpoints to which this node sends its own part of the limit, since none that
+     * issues grants can be found or reached.
+     *
+     * @return number of endpoints that were asked for a short time ago
+     */
+    public long unissued() {
+        return own.count();
+    }
+
+    /**
+     * Counts the requests that were sent without a grant, as this node's own part of a limit.
+     *
+     * @return number since the start of the node
+     */
+    public long sentUnissued() {
+        return own.taken();
     }
 
     /**
@@ -171,8 +185,9 @@
      * @return requests per second of all nodes together, empty if it has no limit
      */
     public OptionalDouble limit(Endpoint endpoint) {
-        Known entry = known.get(EndpointStart.of(endpoint));
-        return entry == null ? OptionalDouble.empty() : entry.named.perSecond();
+        return known.named(EndpointStart.of(endpoint))
+                .map(NamedLimit::perSecond)
+                .orElse(OptionalDouble.empty());
     }
 
     /**
@@ -182,12 +197,7 @@
      * @return the time left, empty if it may have room now
      */
     public Optional<Duration> closedFor(Endpoint endpoint) {
-        Known entry = known.get(EndpointStart.of(endpoint));
-        if (entry == null || !entry.named.limited()) {
-            return Optional.empty();
-        }
-        long left = entry.closedUntilNanos - clock.nanos();
-        return left > 0 ? Optional.of(Duration.ofNanos(left)) : Optional.empty();
+        return known.closedFor(EndpointStart.of(endpoint), clock.nanos());
     }
 
     /**
@@ -210,13 +220,13 @@
 
     private boolean note(Endpoint endpoint, OptionalDouble perSecond, long begunNanos) {
         EndpointStart start = EndpointStart.of(endpoint);
-        Optional<NamedLimit> before = named(start);
+        Optional<NamedLimit> before = known.named(start);
         if (before.isEmpty() && perSecond.isEmpty()) {
             return false;
         }
         long now = clock.nanos();
         NamedLimit after = NamedLimit.afterAnswer(before, perSecond, begunNanos, now);
-        put(start, after);
+        known.put(start, after, now);
         OptionalDouble earlier = before.map(NamedLimit::perSecond).orElse(OptionalDouble.empty());
         if (after.perSecond().equals(earlier)) {
             return false;
@@ -225,23 +235,8 @@
         return true;
     }
 
-    private Optional<NamedLimit> named(EndpointStart start) {
-        return Optional.ofNullable(known.get(start)).map(k -> k.named);
-    }
-
-    private void put(EndpointStart start, NamedLimit named) {
-        Known entry = known.get(start);
-        if (entry == null) {
-            long now = clock.nanos();
-            known.values().removeIf(k -> now - k.named.atNanos() > FORGET_AFTER.toNanos());
-            known.put(start, new Known(named, now));
-        } else {
-            entry.named = named;
-        }
-    }
-
     private void tellIssuer(EndpointStart start, NamedLimit named, long now) {
-        Optional<Address> to = directory.find(start, now).map(IssuerDirectory.Issuer::address);
+        Optional<Address> to = find(start, now).map(IssuerDirectory.Issuer::address);
         if (to.equals(Optional.of(self))) {
             hearAsIssuer(start, named.tell(now));
         } else {
@@ -268,23 +263,30 @@
      * Asks whether one request may be sent to an endpoint.
      *
      * @param endpoint the endpoint
-     * @return true if it may be sent now, false if the endpoint's limit is reached or nobody knows
+     * @return true if it may be sent now, false if the endpoint's limit, or this node's part of it,
+     *     is reached
      */
     public CompletableFuture<Boolean> acquire(Endpoint endpoint) {
         EndpointStart start = EndpointStart.of(endpoint);
-        Optional<NamedLimit> named = named(start).filter(NamedLimit::limited);
+        Optional<NamedLimit> named = known.named(start).filter(NamedLimit::limited);
         if (named.isEmpty()) {
             return CompletableFuture.completedFuture(true);
         }
         long now = clock.nanos();
-        Optional<IssuerDirectory.Issuer> found = directory.find(start, now);
+        Optional<IssuerDirectory.Issuer> found = find(start, now);
         if (found.isEmpty()) {
-            close(start, UNKNOWN_PAUSE);
-            return CompletableFuture.completedFuture(false);
+            return CompletableFuture.completedFuture(tryOwnPart(start, named.get()));
         }
         return ask(start, named.get(), found.get(), now);
     }
 
+    private boolean tryOwnPart(EndpointStart start, NamedLimit named) {
+        own.recordMissing(start);
+        Duration wait = own.take(start, GrantIssuer.rate(named));
+        close(start, wait);
+        return wait.isZero();
+    }
+
     private CompletableFuture<Boolean> ask(
             EndpointStart start, NamedLimit named, IssuerDirectory.Issuer to, long now) {
         long id = ++lastQuestion;
@@ -304,6 +306,7 @@
         Question question = questions.remove(id);
         if (question != null) {
             directory.recordSilence(question.issuer(), clock.nanos());
+            own.recordMissing(question.start());
             close(question.start(), UNKNOWN_PAUSE);
             question.granted().complete(false);
         }
@@ -329,7 +332,8 @@
 
     private LimitMessage.Reply answer(Address from, LimitMessage.Ask ask) {
         hearAsIssuer(ask.start(), ask.heard());
-        LimitMessage.Reply reply = issuer.answer(from, ask, clock.nanos());
+        boolean othersKnown = !directory.nodes().isEmpty();
+        LimitMessage.Reply reply = issuer.answer(from, ask, othersKnown, clock.nanos());
         if (reply.verdict() != Verdict.NOT_ISSUER) {
             return reply;
         }
@@ -338,7 +342,8 @@
     }
 
     private void learn(EndpointStart start, HeardLimit heard) {
-        put(start, NamedLimit.afterMessage(named(start), heard, clock.nanos()));
+        long now = clock.nanos();
+        known.put(start, NamedLimit.afterMessage(known.named(start), heard, now), now);
     }
 
     private void receive(LimitMessage.Reply reply) {
@@ -349,6 +354,11 @@
         question.timeout().cancel();
         directory.recordReply(question.issuer());
         learn(reply.start(), reply.heard());
+        if (reply.verdict() == Verdict.NOT_ISSUER) {
+            own.recordMissing(reply.start());
+        } else {
+            own.recordAnswer(reply.start());
+        }
         switch (reply.verdict()) {
             case GRANTED -> {
                 // the endpoint stays open
@@ -363,9 +373,6 @@
     }
 
     private void close(EndpointStart start, Duration pause) {
-        Known entry = known.get(start);
-        if (entry != null) {
-            entry.closedUntilNanos = clock.nanos() + pause.toNanos();
-        }
+        known.close(start, clock.nanos() + pause.toNanos());
     }
 }
--- a/src/main/java/hyssopturn/limit/GrantIssuer.java
+++ b/src/main/java/hyssopturn/limit/GrantIssuer.java
@@ -88,6 +88,20 @@
         everAssigned = true;
     }
 
+    /** Returns whether no other node can hold the partition of an endpoint now. */
+    boolean confirmed(EndpointStart start, long nowNanos) {
+        return fresh(nowNanos) && held.contains(partition(start, partitions));
+    }
+
+    private boolean fresh(long nowNanos) {
+        return everAssigned && nowNanos < heldUntilNanos;
+    }
+
+    /** Returns the rate that a limit stands for, in requests per second; positive. */
+    static double rate(NamedLimit named) {
+        return Math.max(MIN_RATE, named.perSecond().orElseThrow());
+    }
+
     /** Notes what was heard of a limit. */
     void hear(EndpointStart start, HeardLimit heard, long nowNanos) {
         Issue issue = issues.get(start);
@@ -119,11 +133,16 @@
         return change > TOLD_CHANGE * told.getAsDouble();
     }
 
-    /** Answers a question, after what it tells was heard. */
-    LimitMessage.Reply answer(Address from, LimitMessage.Ask ask, long nowNanos) {
+    /**
+     * Answers a question, after what it tells was heard.
+     *
+     * @param othersKnown false if this node knows no other one, which then uses its own part
+     */
+    LimitMessage.Reply answer(
+            Address from, LimitMessage.Ask ask, boolean othersKnown, long nowNanos) {
         Issue issue = issues.get(ask.start());
         issue.askedNanos = nowNanos;
-        boolean fresh = everAssigned && nowNanos < heldUntilNanos;
+        boolean fresh = fresh(nowNanos);
         boolean holds = held.contains(partition(ask.start(), partitions));
         if (fresh && !holds && !ask.deputy()) {
             return reply(ask, issue, Verdict.NOT_ISSUER, Duration.ZERO, nowNanos);
@@ -131,8 +150,9 @@
         if (!issue.named.limited()) {
             return reply(ask, issue, Verdict.GRANTED, Duration.ZERO, nowNanos);
         }
-        double named = Math.max(MIN_RATE, issue.named.perSecond().orElseThrow());
-        double rate = fresh && holds ? named : named * UNCONFIRMED_PART;
+        double named = rate(issue.named);
+        double rate =
+                fresh && holds ? named * confirmedPart(othersKnown) : named * UNCONFIRMED_PART;
         issue.bucket.rate(rate, nowNanos);
         issue.askers.put(from, nowNanos);
         if (issue.bucket.tryTake(nowNanos)) {
@@ -141,6 +161,12 @@
         return reply(ask, issue, Verdict.NO_ROOM, pause(issue, rate, nowNanos), nowNanos);
     }
 
+    /** Returns the part of a limit that the only issuer issues. */
+    private double confirmedPart(boolean othersKnown) {
+        double othersShare = 1 - (double) held.size() / partitions;
+        return othersKnown ? 1 : 1 - OwnParts.TOTAL_PART * othersShare;
+    }
+
     private static LimitMessage.Reply reply(
             LimitMessage.Ask ask, Issue issue, Verdict verdict, Duration pause, long nowNanos) {
         HeardLimit heard = issue.named.tell(nowNanos);
--- a/src/main/java/hyssopturn/limit/IssuerDirectory.java
+++ b/src/main/java/hyssopturn/limit/IssuerDirectory.java
@@ -81,14 +81,16 @@
         return outdated;
     }
 
-    /** Returns the node to ask for a grant, empty if none is known. */
+    /** Returns the node to ask for a grant, empty if none is known or both are silent. */
     Optional<Issuer> find(EndpointStart start, long nowNanos) {
         Optional<Address> owner = owner(start);
         if (owner.isPresent() && !silent(owner.get(), nowNanos)) {
             return Optional.of(new Issuer(owner.get(), false));
         }
         int partition = GrantIssuer.partition(start, partitions);
-        return owner.flatMap(o -> deputy(partition, o)).map(d -> new Issuer(d, true));
+        return owner.flatMap(o -> deputy(partition, o))
+                .filter(deputy -> !silent(deputy, nowNanos))
+                .map(deputy -> new Issuer(deputy, true));
     }
 
     /** Returns the owner of the next partition that another node owns. */
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -28,6 +28,7 @@
 import hyssopturn.trace.TraceEvent;
 import hyssopturn.trace.TraceLog;
 
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.vertx.core.Vertx;
@@ -189,6 +190,10 @@
         EndpointLimits created =
                 new EndpointLimits(platform.peers(), partitions, clock, random, limitSocket);
         meters.gauge("hyssopturn.endpoint.limits", created, EndpointLimits::count);
+        meters.gauge("hyssopturn.limit.unissued", created, EndpointLimits::unissued);
+        FunctionCounter.builder(
+                        "hyssopturn.limit.unissued.sent", created, EndpointLimits::sentUnissued)
+                .register(meters);
         return created;
     }
 
--- a/src/test/java/hyssopturn/limit/LimitSimulation.java
+++ b/src/test/java/hyssopturn/limit/LimitSimulation.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -27,21 +28,20 @@
     static final int PARTITIONS = 128;
 
     private static final int ENDPOINTS = 4;
+    private static final int ZONES = 3;
 
     /** Requests that callers want to send, as a multiple of what the endpoints take. */
     static final double DEMAND = 3;
 
+    private static final double LEAST_DEMAND = 1;
     private static final double LOSS = 0.005;
     private static final Duration MAX_DELAY = Duration.ofMillis(4);
     private static final Duration WORK = Duration.ofMillis(60);
+    private static final Duration RETURN_SPREAD = Duration.ofSeconds(2);
     private static final Duration JOIN_INTERVAL = Duration.ofSeconds(1);
     private static final Duration LEASE = Duration.ofSeconds(3);
-    private static final long WINDOW_NANOS = Duration.ofSeconds(4).toNanos();
     private static final long SECOND_NANOS = Duration.ofSeconds(1).toNanos();
 
-    /** Time after the first naming of a limit in which nodes learn of it. */
-    private static final long LEARNING_NANOS = Duration.ofSeconds(3).toNanos();
-
     private final VirtualClock clock = new VirtualClock(0);
     private final SplittableRandom random;
     private final double limit;
@@ -51,11 +51,11 @@
     private final Map<Address, Node> byAddress = new HashMap<>();
     private final List<Node> holders = new ArrayList<>();
     private boolean storeAway;
+    private boolean zonesCut;
+    private double demand = 1;
+    private Duration patience = Duration.ZERO;
     private double named;
 
-    /** A request that reached an endpoint, and whether its node had been told of the limit. */
-    private record Arrival(long nanos, boolean told) {}
-
     LimitSimulation(int count, double limit, boolean even, long seed) {
         random = new SplittableRandom(seed);
         this.limit = limit;
@@ -90,23 +90,27 @@
     private final class Node {
         private final Address address;
         private final double requestsPerSecond;
+        private final OffsetClock ownClock = new OffsetClock(clock);
         private EndpointLimits limits;
         private Set<Integer> held = new HashSet<>();
         private int start;
         private boolean running;
         private boolean stale;
+        private boolean holdersHidden;
+        private final int zone;
         private final long[] toldNanos = new long[ENDPOINTS];
 
         Node(int number, double requestsPerSecond) {
             address = new Address("10.1.%d.%d".formatted(number / 200, number % 200), 7341);
             this.requestsPerSecond = requestsPerSecond;
+            zone = number % ZONES;
             byAddress.put(address, this);
             start();
         }
 
         void start() {
             Arrays.fill(toldNanos, Long.MAX_VALUE);
-            limits = new EndpointLimits(address, PARTITIONS, clock, random, this::send);
+            limits = new EndpointLimits(address, PARTITIONS, ownClock, random, this::send);
             running = true;
             int current = ++start;
             if (!holders.contains(this)) {
@@ -130,7 +134,16 @@
             later(JOIN_INTERVAL.toNanos(), () -> join(current));
             if (!storeAway && !stale) {
                 limits.assign(held, clock.nanos() + LEASE.toNanos());
-                limits.owners(owners());
+                if (!holdersHidden) {
+                    limits.owners(owners());
+                }
+            }
+        }
+
+        private void hear() {
+            for (int i = 0; i < ENDPOINTS; i++) {
+                toldNanos[i] = clock.nanos();
+                limits.note(endpoints.get(i), notice(), clock.nanos());
             }
         }
 
@@ -142,30 +155,33 @@
 
         private void deliver(Address to, LimitMessage message) {
             Node receiver = byAddress.get(to);
-            if (receiver.running) {
+            if (receiver.running && (!zonesCut || receiver.zone == zone)) {
                 receiver.limits.receive(address, message);
             }
         }
 
         private void nextRequest(int current) {
-            double seconds = -Math.log(1 - random.nextDouble()) / requestsPerSecond;
+            double rate = requestsPerSecond * Math.max(demand, LEAST_DEMAND);
+            double seconds = -Math.log(1 - random.nextDouble()) / rate;
             later(
                     (long) (seconds * SECOND_NANOS),
                     () -> {
                         if (current == start) {
                             nextRequest(current);
-                            request(current);
+                            if (demand > 0) {
+                                request(current, clock.nanos() + patience.toNanos());
+                            }
                         }
                     });
         }
 
-        private void request(int current) {
+        private void request(int current, long deadline) {
             List<Integer> order = new ArrayList<>(IntStream.range(0, ENDPOINTS).boxed().toList());
             Collections.shuffle(order, new java.util.Random(random.nextLong()));
-            tryNext(current, order);
+            tryNext(current, order, deadline);
         }
 
-        private void tryNext(int current, List<Integer> left) {
+        private void tryNext(int current, List<Integer> left, long deadline) {
             while (!left.isEmpty()) {
                 int number = left.removeFirst();
                 Endpoint endpoint = endpoints.get(number);
@@ -176,12 +192,31 @@
                                         if (granted) {
                                             arrive(current, number);
                                         } else if (current == start) {
-                                            tryNext(current, left);
+                                            tryNext(current, left, deadline);
                                         }
                                     });
                     return;
                 }
             }
+            if (clock.nanos() < deadline) {
+                comeBack(current, deadline);
+            }
+        }
+
+        /** Lets a refused caller come back when an endpoint may have room again. */
+        private void comeBack(int current, long deadline) {
+            Duration soonest =
+                    endpoints.stream()
+                            .map(e -> limits.closedFor(e).orElse(Duration.ZERO))
+                            .min(Comparator.naturalOrder())
+                            .orElseThrow();
+            later(
+                    soonest.toNanos() + random.nextLong(RETURN_SPREAD.toNanos()),
+                    () -> {
+                        if (current == start) {
+                            request(current, deadline);
+                        }
+                    });
         }
 
         private void arrive(int current, int number) {
@@ -270,6 +305,47 @@
         nodes.forEach(n -> n.stale = random.nextDouble() < share);
     }
 
+    /** Lets a share of the nodes, as they are now, read no more who holds the partitions. */
+    void hideHolders(double share) {
+        nodes.forEach(n -> n.holdersHidden = random.nextDouble() < share);
+    }
+
+    /** Lets all nodes forget who holds the partitions, and read no more of it. */
+    void loseHolders() {
+        hideHolders(1);
+        nodes.forEach(n -> n.limits.owners(Map.of()));
+    }
+
+    /** Sets how much callers want, as a multiple of what they want else; 0 for nothing. */
+    void demand(double multiple) {
+        demand = multiple;
+    }
+
+    /** Counts the requests that nodes without an issuer sent since they started. */
+    long unissued() {
+        return nodes.stream().mapToLong(n -> n.limits.sentUnissued()).sum();
+    }
+
+    /** Sets whether messages between zones are lost. */
+    void cutZones(boolean cut) {
+        zonesCut = cut;
+    }
+
+    /** Steps the wall clock of each node by up to a time. */
+    void stepClocks(Duration most) {
+        nodes.forEach(n -> n.ownClock.step(random.nextLong(-most.toMillis(), most.toMillis())));
+    }
+
+    /** Sets how long a caller that is refused comes back. */
+    void patience(Duration time) {
+        patience = time;
+    }
+
+    /** Lets all nodes hear the endpoints' limits in answers. */
+    void hearEverywhere() {
+        nodes.forEach(Node::hear);
+    }
+
     /** Changes the limit that endpoints name from now on; 0 for none. */
     void name(double perSecond) {
         named = perSecond;
@@ -282,33 +358,19 @@
     /** Returns the most requests that an endpoint got in any window, of nodes that it had told. */
     int most() {
         return arrivals.stream()
-                .mapToInt(a -> most(a.stream().filter(Arrival::told).toList()))
+                .mapToInt(a -> Arrival.most(a.stream().filter(Arrival::told).toList()))
                 .max()
                 .orElse(0);
     }
 
     /** Returns the same of all nodes, whether they had been told or not. */
     int mostOfAll() {
-        return arrivals.stream().mapToInt(LimitSimulation::most).max().orElse(0);
-    }
-
-    private static int most(List<Arrival> all) {
-        long from = LEARNING_NANOS + all.stream().mapToLong(Arrival::nanos).findFirst().orElse(0);
-        List<Arrival> counted = all.stream().filter(a -> a.nanos() >= from).toList();
-        int most = 0;
-        int first = 0;
-        for (int i = 0; i < counted.size(); i++) {
-            while (counted.get(i).nanos() - counted.get(first).nanos() >= WINDOW_NANOS) {
-                first++;
-            }
-            most = Math.max(most, i - first + 1);
-        }
-        return most;
+        return arrivals.stream().mapToInt(Arrival::most).max().orElse(0);
     }
 
     /** Returns the greatest number of requests that the endpoints' operators allow in a window. */
     int allowed() {
-        return (int) (1.5 * limit * WINDOW_NANOS / SECOND_NANOS) + 5;
+        return (int) (1.5 * limit * Arrival.WINDOW_NANOS / SECOND_NANOS) + 5;
     }
 
     /** Returns the part of the limits that was used in a time that ends now. */
@@ -318,6 +380,11 @@
                 arrivals.stream()
                         .mapToLong(a -> a.stream().filter(t -> t.nanos() >= from).count())
                         .sum();
-        return sent / (limit * ENDPOINTS * time.toNanos() / SECOND_NANOS);
+        return part(sent, time);
+    }
+
+    /** Returns the part of the limits that a number of requests is in a time. */
+    double part(long requests, Duration time) {
+        return requests / (limit * ENDPOINTS * time.toNanos() / SECOND_NANOS);
     }
 }
