--- a/src/main/java/hyssopturn/limit/EndpointLimits.java
+++ b/src/main/java/hyssopturn/limit/EndpointLimits.java
@@ -70,8 +70,8 @@
         this.clock = clock;
         this.random = random;
         this.channel = channel;
-        issuer = new GrantIssuer(partitions, random);
         directory = new IssuerDirectory(partitions);
+        issuer = new GrantIssuer(partitions, random, directory);
         own = new OwnParts(partitions, clock);
     }
 
@@ -306,9 +306,9 @@
         Question question = questions.remove(id);
         if (question != null) {
             directory.recordSilence(question.issuer(), clock.nanos());
-            own.recordMissing(question.start());
-            close(question.start(), UNKNOWN_PAUSE);
-            question.granted().complete(false);
+            Optional<NamedLimit> named = known.named(question.start()).filter(NamedLimit::limited);
+            boolean sends = named.filter(n -> tryOwnPart(question.start(), n)).isPresent();
+            question.granted().complete(sends);
         }
     }
 
@@ -332,8 +332,7 @@
 
     private LimitMessage.Reply answer(Address from, LimitMessage.Ask ask) {
         hearAsIssuer(ask.start(), ask.heard());
-        boolean othersKnown = !directory.nodes().isEmpty();
-        LimitMessage.Reply reply = issuer.answer(from, ask, othersKnown, clock.nanos());
+        LimitMessage.Reply reply = issuer.answer(from, ask, clock.nanos());
         if (reply.verdict() != Verdict.NOT_ISSUER) {
             return reply;
         }
--- a/src/main/java/hyssopturn/limit/GrantIssuer.java
+++ b/src/main/java/hyssopturn/limit/GrantIssuer.java
@@ -46,6 +46,7 @@
 
     private final RandomGenerator random;
     private final int partitions;
+    private final IssuerDirectory directory;
     private final Map<EndpointStart, Issue> issues = new HashMap<>();
     private Set<Integer> held = Set.of();
     private long heldUntilNanos;
@@ -54,6 +55,7 @@
     private static final class Issue {
         private final TokenBucket bucket;
         private final Map<Address, Long> askers = new HashMap<>();
+        private final DeputyPart deputyPart = new DeputyPart();
         private NamedLimit named;
         private OptionalDouble told = OptionalDouble.empty();
         private long askedNanos;
@@ -70,8 +72,10 @@
      *
      * @param partitions number of partitions that the nodes share
      * @param random source of the spread of questions
+     * @param directory holders of the partitions
      */
-    GrantIssuer(int partitions, RandomGenerator random) {
+    GrantIssuer(int partitions, RandomGenerator random, IssuerDirectory directory) {
+        this.directory = directory;
         this.partitions = partitions;
         this.random = random;
     }
@@ -133,13 +137,8 @@
         return change > TOLD_CHANGE * told.getAsDouble();
     }
 
-    /**
-     * Answers a question, after what it tells was heard.
-     *
-     * @param othersKnown false if this node knows no other one, which then uses its own part
-     */
-    LimitMessage.Reply answer(
-            Address from, LimitMessage.Ask ask, boolean othersKnown, long nowNanos) {
+    /** Answers a question, after what it tells was heard. */
+    LimitMessage.Reply answer(Address from, LimitMessage.Ask ask, long nowNanos) {
         Issue issue = issues.get(ask.start());
         issue.askedNanos = nowNanos;
         boolean fresh = fresh(nowNanos);
@@ -150,9 +149,7 @@
         if (!issue.named.limited()) {
             return reply(ask, issue, Verdict.GRANTED, Duration.ZERO, nowNanos);
         }
-        double named = rate(issue.named);
-        double rate =
-                fresh && holds ? named * confirmedPart(othersKnown) : named * UNCONFIRMED_PART;
+        double rate = rate(issue.named) * part(issue, from, ask, nowNanos);
         issue.bucket.rate(rate, nowNanos);
         issue.askers.put(from, nowNanos);
         if (issue.bucket.tryTake(nowNanos)) {
@@ -161,10 +158,20 @@
         return reply(ask, issue, Verdict.NO_ROOM, pause(issue, rate, nowNanos), nowNanos);
     }
 
-    /** Returns the part of a limit that the only issuer issues. */
-    private double confirmedPart(boolean othersKnown) {
+    private double part(Issue issue, Address from, LimitMessage.Ask ask, long nowNanos) {
+        if (confirmed(ask.start(), nowNanos)) {
+            return confirmedPart();
+        }
+        boolean holds = held.contains(partition(ask.start(), partitions));
+        return ask.deputy() && !holds
+                ? issue.deputyPart.ask(from, directory::share, nowNanos)
+                : UNCONFIRMED_PART;
+    }
+
+    /** Returns the part of the only issuer; nodes that do not know each other use their own. */
+    private double confirmedPart() {
         double othersShare = 1 - (double) held.size() / partitions;
-        return othersKnown ? 1 : 1 - OwnParts.TOTAL_PART * othersShare;
+        return directory.nodes().isEmpty() ? 1 - OwnParts.TOTAL_PART * othersShare : 1;
     }
 
     private static LimitMessage.Reply reply(
--- a/src/main/java/hyssopturn/limit/IssuerDirectory.java
+++ b/src/main/java/hyssopturn/limit/IssuerDirectory.java
@@ -23,6 +23,7 @@
     private final Map<Address, Integer> unanswered = new HashMap<>();
     private final Map<Address, Long> silentUntilNanos = new HashMap<>();
     private SortedMap<Integer, Address> owners = new TreeMap<>();
+    private Map<Address, Integer> held = Map.of();
     private boolean outdated = true;
 
     /**
@@ -44,6 +45,13 @@
         outdated = owners.isEmpty();
         silentUntilNanos.keySet().retainAll(owners.values());
         unanswered.keySet().retainAll(owners.values());
+        held = new HashMap<>();
+        owners.values().forEach(owner -> held.merge(owner, 1, Integer::sum));
+    }
+
+    /** Returns the part of the partitions that a node held when the owners were last read. */
+    double share(Address address) {
+        return (double) held.getOrDefault(address, 0) / partitions;
     }
 
     /** Records that a node did not answer a question. */
--- a/src/test/java/hyssopturn/limit/UnissuedLimitTest.java
+++ b/src/test/java/hyssopturn/limit/UnissuedLimitTest.java
@@ -197,4 +197,32 @@
                     });
         }
     }
+
+    /** Guards against a sum of an issuer, its deputy and nodes that reach neither. */
+    @Nested
+    class ZonesThatCannotReachEachOther {
+        @ParameterizedTest
+        @CsvSource({
+            "7, 0.5",
+            "7, 3.4",
+            "7, 100",
+            "95, 0.5",
+            "95, 3.4",
+            "95, 100",
+            "300, 3.4",
+            "300, 100"
+        })
+        void limitIsKeptAndPartlyUsed(int nodes, double limit) {
+            assertKept(
+                    "zones",
+                    nodes,
+                    limit,
+                    true,
+                    USED,
+                    simulation -> {
+                        simulation.run(NOTICE_TIME);
+                        simulation.cutZones(true);
+                    });
+        }
+    }
 }
