--- a/src/test/java/hyssopturn/platform/EndpointLimitsTest.java
+++ b/src/test/java/hyssopturn/platform/EndpointLimitsTest.java
@@ -37,6 +37,9 @@
     /** Part that is used even if no node knows whether it is the only issuer. */
     private static final double LEAST_USED = 0.4 * USED;
 
+    /** Part that is used even if no node finds who issues grants. */
+    private static final double UNISSUED_USED = 0.3;
+
     private static final Duration PLAY_TIME = Duration.ofSeconds(9);
 
     private final NodeGroup nodes = new NodeGroup();
@@ -183,4 +186,11 @@
                     nodes.restart(1);
                 });
     }
+
+    /** Guards against requests that all nodes refuse since no holder can be read. */
+    @Test
+    void limitIsKeptAndPartlyUsedWhileHoldersCannotBeRead() {
+        nodes.store().namesOwners(false);
+        assertLimitsKept(true, UNISSUED_USED, () -> {});
+    }
 }
--- a/src/test/java/hyssopturn/platform/LogStoreServer.java
+++ b/src/test/java/hyssopturn/platform/LogStoreServer.java
@@ -34,6 +34,7 @@
     private static final int MAX_HEAD_BYTES = 262_144;
     private static final int GONE = 410;
     private static final int UNAVAILABLE = 503;
+    private static final int NOT_FOUND = 404;
     private static final long RETRY_MILLIS = 5;
 
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
@@ -42,6 +43,7 @@
     private final GroupState group = new GroupState();
     private long era = 1;
     private int pageSize = 500;
+    private boolean namesOwners = true;
 
     /** How the store answers a node. */
     enum State {
@@ -91,6 +93,11 @@
         accesses.get(node).namesEra = names;
     }
 
+    /** Sets whether the store tells who holds the partitions. */
+    void namesOwners(boolean names) {
+        onLoop(() -> namesOwners = names);
+    }
+
     /** Sets the greatest number of records of a page. */
     void pageSize(int size) {
         onLoop(() -> pageSize = size);
@@ -189,8 +196,16 @@
                 group.leave(body.toJsonObject().getString("Member"));
                 end(access, request, Buffer.buffer("{}"));
             }
-            case "/v1/log-owners" -> end(access, request, group.owners().toBuffer());
-            default -> request.response().setStatusCode(404).end();
+            case "/v1/log-owners" -> owners(access, request);
+            default -> request.response().setStatusCode(NOT_FOUND).end();
+        }
+    }
+
+    private void owners(StoreAccess access, HttpServerRequest request) {
+        if (namesOwners) {
+            end(access, request, group.owners().toBuffer());
+        } else {
+            request.response().setStatusCode(NOT_FOUND).end();
         }
     }
 
