--- a/src/main/java/hyssopturn/limit/GrantIssuer.java
+++ b/src/main/java/hyssopturn/limit/GrantIssuer.java
@@ -46,6 +46,7 @@
 
     private final RandomGenerator random;
     private final int partitions;
+    private final IssuerDirectory directory;
     private final Map<EndpointStart, Issue> issues = new HashMap<>();
     private Set<Integer> held = Set.of();
     private long heldUntilNanos;
@@ -54,6 +55,7 @@
     private static final class Issue {
         private final TokenBucket bucket;
         private final Map<Address, Long> askers = new HashMap<>();
+        private final DeputyPart deputyPart = new DeputyPart();
         private NamedLimit named;
         private OptionalDouble told = OptionalDouble.empty();
         private long askedNanos;
@@ -70,8 +72,10 @@
      *
      * @param partitions number of partitions that the nodes share
      * @param random source of the spread of questions
+     * @param directory holders of the partitions
      */
-    GrantIssuer(int partitions, RandomGenerator random) {
+    GrantIssuer(int partitions, RandomGenerator random, IssuerDirectory directory) {
+        this.directory = directory;
         this.partitions = partitions;
         this.random = random;
     }
@@ -88,6 +92,20 @@
         everAssigned = true;
     }
 
+    /** Returns whether no other node can hold the partition of an endpoint now. */
+    boolean confirmed(EndpointStart start, long nowNanos) {
+        return fresh(nowNanos) && held.contains(partition(start, partitions));
+    }
+
+    private boolean fresh(long nowNanos) {
+        return everAssigned && nowNanos < heldUntilNanos;
+    }
+
+    /** Returns the rate that a limit stands for, in requests per second; positive. */
+    static double rate(NamedLimit named) {
+        return Math.max(MIN_RATE, named.perSecond().orElseThrow());
+    }
+
     /** Notes what was heard of a limit. */
     void hear(EndpointStart start, HeardLimit heard, long nowNanos) {
         Issue issue = issues.get(start);
@@ -123,7 +141,7 @@
     LimitMessage.Reply answer(Address from, LimitMessage.Ask ask, long nowNanos) {
         Issue issue = issues.get(ask.start());
         issue.askedNanos = nowNanos;
-        boolean fresh = everAssigned && nowNanos < heldUntilNanos;
+        boolean fresh = fresh(nowNanos);
         boolean holds = held.contains(partition(ask.start(), partitions));
         if (fresh && !holds && !ask.deputy()) {
             return reply(ask, issue, Verdict.NOT_ISSUER, Duration.ZERO, nowNanos);
@@ -131,8 +149,7 @@
         if (!issue.named.limited()) {
             return reply(ask, issue, Verdict.GRANTED, Duration.ZERO, nowNanos);
         }
-        double named = Math.max(MIN_RATE, issue.named.perSecond().orElseThrow());
-        double rate = fresh && holds ? named : named * UNCONFIRMED_PART;
+        double rate = rate(issue.named) * part(issue, from, ask, nowNanos);
         issue.bucket.rate(rate, nowNanos);
         issue.askers.put(from, nowNanos);
         if (issue.bucket.tryTake(nowNanos)) {
@@ -141,6 +158,22 @@
         return reply(ask, issue, Verdict.NO_ROOM, pause(issue, rate, nowNanos), nowNanos);
     }
 
+    private double part(Issue issue, Address from, LimitMessage.Ask ask, long nowNanos) {
+        if (confirmed(ask.start(), nowNanos)) {
+            return confirmedPart();
+        }
+        boolean holds = held.contains(partition(ask.start(), partitions));
+        return ask.deputy() && !holds
+                ? issue.deputyPart.ask(from, directory::share, nowNanos)
+                : UNCONFIRMED_PART;
+    }
+
+    /** Returns the part of the only issuer; nodes that do not know each other use their own. */
+    private double confirmedPart() {
+        double othersShare = 1 - (double) held.size() / partitions;
+        return directory.nodes().isEmpty() ? 1 - OwnParts.TOTAL_PART * othersShare : 1;
+    }
+
     private static LimitMessage.Reply reply(
             LimitMessage.Ask ask, Issue issue, Verdict verdict, Duration pause, long nowNanos) {
         HeardLimit heard = issue.named.tell(nowNanos);
--- a/src/main/java/hyssopturn/limit/IssuerDirectory.java
+++ b/src/main/java/hyssopturn/limit/IssuerDirectory.java
@@ -23,6 +23,7 @@
     private final Map<Address, Integer> unanswered = new HashMap<>();
     private final Map<Address, Long> silentUntilNanos = new HashMap<>();
     private SortedMap<Integer, Address> owners = new TreeMap<>();
+    private Map<Address, Integer> held = Map.of();
     private boolean outdated = true;
 
     /**
@@ -44,6 +45,13 @@
         outdated = owners.isEmpty();
         silentUntilNanos.keySet().retainAll(owners.values());
         unanswered.keySet().retainAll(owners.values());
+        held = new HashMap<>();
+        owners.values().forEach(owner -> held.merge(owner, 1, Integer::sum));
+    }
+
+    /** Returns the part of the partitions that a node held when the owners were last read. */
+    double share(Address address) {
+        return (double) held.getOrDefault(address, 0) / partitions;
     }
 
     /** Records that a node did not answer a question. */
@@ -81,14 +89,16 @@
         return outdated;
     }
 
-    /** Returns the node to ask for a grant, empty if none is known. */
+    /** Returns the node to ask for a grant, empty if none is known or both are silent. */
     Optional<Issuer> find(EndpointStart start, long nowNanos) {
         Optional<Address> owner = owner(start);
         if (owner.isPresent() && !silent(owner.get(), nowNanos)) {
             return Optional.of(new Issuer(owner.get(), false));
         }
         int partition = GrantIssuer.partition(start, partitions);
-        return owner.flatMap(o -> deputy(partition, o)).map(d -> new Issuer(d, true));
+        return owner.flatMap(o -> deputy(partition, o))
+                .filter(deputy -> !silent(deputy, nowNanos))
+                .map(deputy -> new Issuer(deputy, true));
     }
 
     /** Returns the owner of the next partition that another node owns. */
