--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -339,12 +339,15 @@
     }
 
     /**
-     * Counts and logs the retry by which an attempt at a suspected endpoint is replaced or joined.
-     * The caller has checked that nothing stands in the way of a retry.
+     * Counts and logs the retry by which an attempt at a suspected endpoint is joined by another
+     * one. The caller has checked that nothing stands in the way of a retry.
+     *
+     * @param lost whether nothing is to be expected of the attempt, which may else be only silent
      */
-    final void replaceAttempt(Endpoint endpoint, String cause, Optional<InstanceId> fault) {
+    final void joinAttempt(
+            Endpoint endpoint, String cause, Optional<InstanceId> fault, boolean lost) {
         recordFailure(endpoint, cause, fault, true, RETRY);
-        countRetry(RetryBudget.AnswerState.SILENT);
+        countRetry(lost ? answerState() : RetryBudget.AnswerState.SILENT);
     }
 
     /** Logs that an attempt at a suspected endpoint goes on, since it cannot be replaced. */
--- a/src/main/java/hyssopturn/relay/ChainMoves.java
+++ b/src/main/java/hyssopturn/relay/ChainMoves.java
@@ -69,12 +69,13 @@
 
     /** Tries another chain as well if one can be used, otherwise only keeps the attempt. */
     private void retryElsewhere(String cause, Endpoint suspect) {
-        Optional<String> obstacle = call.replacementObstacle();
+        Optional<StreamAttempt> lost = call.findLost();
+        Optional<String> obstacle =
+                lost.isPresent() ? call.retryObstacle() : call.replacementObstacle();
         if (obstacle.isPresent()) {
             keepWaiting(cause, suspect, obstacle.get());
             return;
         }
-        Optional<StreamAttempt> lost = call.findLost();
         if (call.twoOpen() && lost.isEmpty()) {
             keepWaiting(cause, suspect, "two attempts open");
             return;
@@ -91,7 +92,7 @@
         if (call.twoOpen()) {
             lost.ifPresent(call::drop);
         }
-        call.tryBeside(other.get(), cause, suspect);
+        call.tryBeside(other.get(), cause, suspect, lost.isPresent());
     }
 
     private boolean reserve(List<ZoneLink> links) {
@@ -221,8 +222,7 @@
     }
 
     private Optional<EngineChain> findDetour(Endpoint engine) {
-        // an order names the request by its id, which two attempts at one engine share
-        if (firstPaused() || call.sharesFirst(newest())) {
+        if (firstPaused()) {
             return Optional.empty();
         }
         return chainFinder.findDetour(current(), engine, call.excluded);
@@ -263,11 +263,11 @@
     }
 
     private void tryBesideQueue(Endpoint first) {
-        findInOneZone(e -> call.mayAttempt(e) && !e.id().equals(first.id()))
+        findInOneZone(e -> call.mayAttempt(e) && !call.openAt(e))
                 .ifPresent(
                         other -> {
                             call.avoidFirst(first);
-                            call.tryBeside(other, "first event overdue", first);
+                            call.tryBeside(other, "first event overdue", first, false);
                         });
     }
 }
--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -207,7 +207,7 @@
             watch(HedgeDelay.next(delay, timeToAnswer()));
             return;
         }
-        replaceAttempt(slow, SLOW, Optional.empty());
+        joinAttempt(slow, SLOW, Optional.empty(), false);
         attempt();
     }
 
--- a/src/main/java/hyssopturn/relay/Resumption.java
+++ b/src/main/java/hyssopturn/relay/Resumption.java
@@ -105,6 +105,11 @@
         return missing;
     }
 
+    @Override
+    public boolean begun() {
+        return true;
+    }
+
     @Override
     public boolean affordable() {
         return counted
--- a/src/main/java/hyssopturn/relay/RetryQueue.java
+++ b/src/main/java/hyssopturn/relay/RetryQueue.java
@@ -24,6 +24,9 @@
 
     /** A stream that waits. */
     interface Member {
+        /** Returns whether the caller has received a part of the answer; such streams go first. */
+        boolean begun();
+
         /** Returns whether the retry budget allows a retry now. */
         boolean affordable();
 
@@ -94,12 +97,15 @@
     }
 
     /**
-     * Returns the streams in the order in which searches are due, so that none waits for those that
-     * search in vain; of several due at once, first those whose callers leave first.
+     * Returns the streams that began before the others, and otherwise in the order in which
+     * searches are due, so that none waits for those that search in vain; of several due at once,
+     * first those whose callers leave first.
      */
     private List<Waiter> bySearchTime() {
         return waiters.stream()
-                .sorted(Comparator.comparingLong((Waiter w) -> w.nextSearchNanos))
+                .sorted(
+                        Comparator.comparing((Waiter w) -> !w.member.begun())
+                                .thenComparingLong(w -> w.nextSearchNanos))
                 .toList();
     }
 
--- a/src/main/java/hyssopturn/relay/SilenceWait.java
+++ b/src/main/java/hyssopturn/relay/SilenceWait.java
@@ -41,6 +41,11 @@
         return true;
     }
 
+    @Override
+    public boolean begun() {
+        return false;
+    }
+
     @Override
     public boolean affordable() {
         return true;
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -134,7 +134,7 @@
     /** Finds a chain for an answer that began, also of engines that refused it some time ago. */
     Optional<EngineChain> findChainAgain(Set<InstanceId> unusable) {
         return response.headWritten()
-                ? chainFinder.findWithCapacity(this::mayAttempt, unusable)
+                ? chainFinder.findWithCapacity(e -> mayAttempt(e) && !openAt(e), unusable)
                 : Optional.empty();
     }
 
@@ -148,7 +148,7 @@
     /** Finds a chain of engines that have not refused a request recently. */
     Optional<EngineChain> findChainWithCapacity(Set<InstanceId> unusable) {
         return chainFinder.findWithCapacity(
-                e -> mayAttempt(e) && !avoidedFirst.contains(e.id()), unusable);
+                e -> mayAttempt(e) && !avoidedFirst.contains(e.id()) && !openAt(e), unusable);
     }
 
     /**
@@ -435,11 +435,15 @@
         }
     }
 
-    /** Tries another chain beside the attempt that holds the stream, which is only silent. */
-    void tryBeside(EngineChain other, String cause, Endpoint suspect) {
+    /**
+     * Tries another chain beside the attempt that holds the stream.
+     *
+     * @param lost whether nothing is to be expected of that attempt, which may else be only silent
+     */
+    void tryBeside(EngineChain other, String cause, Endpoint suspect, boolean lost) {
         Endpoint first = newest().orElseThrow().first();
         moved = true;
-        replaceAttempt(first, cause, Optional.of(suspect.id()));
+        joinAttempt(first, cause, Optional.of(suspect.id()), lost);
         resumption.markCounted();
         startOn(other);
     }
@@ -465,10 +469,9 @@
         return attempts.twoOpen();
     }
 
-    /** Returns whether another attempt is open at the same first engine. */
-    boolean sharesFirst(StreamAttempt attempt) {
-        return open.values().stream()
-                .anyMatch(a -> !a.equals(attempt) && a.first().id().equals(attempt.first().id()));
+    /** Returns whether an attempt is open at an engine as the first one of its chain. */
+    boolean openAt(Endpoint engine) {
+        return open.values().stream().anyMatch(a -> a.first().id().equals(engine.id()));
     }
 
     /** Returns the moves of this stream to other engines. */
--- a/src/test/java/hyssopturn/relay/RetryLoadTest.java
+++ b/src/test/java/hyssopturn/relay/RetryLoadTest.java
@@ -130,6 +130,11 @@
                 this.node = node;
             }
 
+            @Override
+            public boolean begun() {
+                return true;
+            }
+
             @Override
             public boolean affordable() {
                 return budgets.get(node).allows(SERVICE, AnswerState.STARTED, now);
--- a/src/test/java/hyssopturn/relay/RetryQueueTest.java
+++ b/src/test/java/hyssopturn/relay/RetryQueueTest.java
@@ -32,6 +32,11 @@
             this.name = name;
         }
 
+        @Override
+        public boolean begun() {
+            return name.equals("begun");
+        }
+
         @Override
         public boolean affordable() {
             return budget > 0;
@@ -126,6 +131,23 @@
         }
     }
 
+    @Test
+    void aBegunStreamIsNotKeptFromItsSearchByManyNewOnes() {
+        chains = false;
+        for (int i = 0; i < 200; i++) {
+            queue.add(new Stream("new"), LATE, LATE, INTERVAL);
+        }
+        for (long now = 0; now <= 10 * INTERVAL; now += INTERVAL / 5) {
+            queue.tick(now);
+        }
+        long added = 10 * INTERVAL;
+        queue.add(new Stream("begun"), LATE, LATE, added + INTERVAL);
+        for (long now = added; now <= added + 3 * INTERVAL; now += INTERVAL / 5) {
+            queue.tick(now);
+        }
+        assertThat(searched.contains("begun"), is(true));
+    }
+
     @Test
     void searchesNoChainForAStreamThatTheBudgetDoesNotAllow() {
         budget = 0;
