--- a/src/test/java/hyssopturn/limit/UnissuedLimitTest.java
+++ b/src/test/java/hyssopturn/limit/UnissuedLimitTest.java
@@ -16,6 +16,10 @@
 class UnissuedLimitTest {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int SEEDS = Integer.getInteger("hyssopturn.soak.seeds", 1);
+
+    /** Least number of requests that an endpoint takes by its limit while they are counted. */
+    private static final double COUNTED = 150;
+
     private static final Duration TIME = Duration.ofSeconds(60);
 
     /** Time in which nodes notice that nobody answers. */
@@ -36,23 +40,28 @@
         return Duration.ofSeconds(limit < 50 ? 30 : 3);
     }
 
+    /** Returns a time in which an endpoint takes enough requests to tell parts of them. */
+    private static Duration countTime(double limit) {
+        return Duration.ofSeconds(Math.max(TIME.toSeconds(), (long) (COUNTED / limit)));
+    }
+
     /** Plays until nodes have noticed, and then for a time in which requests are counted. */
     private static void assertKept(
-            String what, LimitSimulation simulation, double part, Play before) {
+            String what, LimitSimulation simulation, Duration time, double part, Play before) {
         simulation.hearEverywhere();
         before.run(simulation);
         simulation.run(NOTICE_TIME);
         long sent = simulation.unissued();
-        simulation.run(TIME);
+        simulation.run(time);
         logger.atInfo().log(
                 "%s: most %d of %d, used %.3f, without an issuer %.3f",
                 what,
                 simulation.mostOfAll(),
                 simulation.allowed(),
-                simulation.used(TIME),
-                simulation.part(simulation.unissued() - sent, TIME));
+                simulation.used(time),
+                simulation.part(simulation.unissued() - sent, time));
         assertThat(simulation.mostOfAll(), lessThanOrEqualTo(simulation.allowed()));
-        assertThat(simulation.used(TIME), greaterThanOrEqualTo(part));
+        assertThat(simulation.used(time), greaterThanOrEqualTo(part));
     }
 
     private static void assertKept(
@@ -63,7 +72,7 @@
             String title =
                     "%s, %d nodes, %.1f/s, even=%s, seed %d"
                             .formatted(what, nodes, limit, even, seed);
-            assertKept(title, simulation, part, before);
+            assertKept(title, simulation, countTime(limit), part, before);
         }
     }
 
