--- a/src/main/java/hyssopturn/relay/ChainMoves.java
+++ b/src/main/java/hyssopturn/relay/ChainMoves.java
@@ -110,7 +110,15 @@
         Set<InstanceId> unusable = new HashSet<>(call.excluded);
         unusable.add(suspect.id());
         return call.findChainWithCapacity(unusable)
-                .or(() -> call.findChainAgain(Set.of(suspect.id())));
+                .or(() -> call.findChainAgain(Set.of(suspect.id())))
+                .or(() -> findBehindSameFirst(unusable));
+    }
+
+    /** Finds a chain from the present first engine, if only engines behind it are suspected. */
+    private Optional<EngineChain> findBehindSameFirst(Set<InstanceId> unusable) {
+        InstanceId first = newest().first().id();
+        return chainFinder.findWithCapacity(
+                e -> e.id().equals(first) && call.mayAttempt(e), unusable);
     }
 
     /**
@@ -216,7 +224,8 @@
     }
 
     private Optional<EngineChain> findDetour(Endpoint engine) {
-        if (firstPaused()) {
+        // an order names the request by its id, which two attempts at one engine share
+        if (firstPaused() || call.sharesFirst(newest())) {
             return Optional.empty();
         }
         return chainFinder.findDetour(current(), engine, call.excluded);
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -469,6 +469,12 @@
         return attempts.twoOpen();
     }
 
+    /** Returns whether another attempt is open at the same first engine. */
+    boolean sharesFirst(StreamAttempt attempt) {
+        return open.values().stream()
+                .anyMatch(a -> !a.equals(attempt) && a.first().id().equals(attempt.first().id()));
+    }
+
     /** Returns whether an attempt is open at an engine as the first one of its chain. */
     boolean openAt(Endpoint engine) {
         return open.values().stream().anyMatch(a -> a.first().id().equals(engine.id()));
--- a/src/test/java/hyssopturn/platform/MovedAgainTest.java
+++ b/src/test/java/hyssopturn/platform/MovedAgainTest.java
@@ -394,13 +394,15 @@
                             harness.runLater(() -> finish(r));
                         }
                     });
-            CompletableFuture.runAsync(
-                    () -> {
-                        for (int i = 0; i < 8; i++) {
-                            harness.callTogether("/once/x", 5);
-                        }
-                    });
+            var others =
+                    CompletableFuture.runAsync(
+                            () -> {
+                                for (int i = 0; i < 8; i++) {
+                                    harness.callTogether("/once/x", 5);
+                                }
+                            });
             assertWhole(harness.call("/write/x", DEADLINE));
+            others.join();
         }
     }
 }
