--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -5,6 +5,7 @@
 import hyssopturn.chain.LayerController;
 import hyssopturn.fleet.FaultReport;
 import hyssopturn.limit.EndpointLimits;
+import hyssopturn.load.LoadView;
 import hyssopturn.log.Backoff;
 import hyssopturn.log.KeyedFollower;
 import hyssopturn.model.Address;
@@ -159,6 +160,7 @@
                                 random,
                                 retries,
                                 load,
+                                LoadView.NONE,
                                 pipes,
                                 new ConnectProbe(vertx, PROBE_TIMEOUT),
                                 new LoopLag(),
--- a/src/main/java/hyssopturn/relay/RelayContext.java
+++ b/src/main/java/hyssopturn/relay/RelayContext.java
@@ -4,6 +4,7 @@
 import hyssopturn.chain.InterZoneBudget;
 import hyssopturn.fleet.Endpoint;
 import hyssopturn.limit.EndpointLimits;
+import hyssopturn.load.LoadView;
 import hyssopturn.port.Clock;
 import hyssopturn.port.LivenessProbe;
 import hyssopturn.quarantine.PromptGuard;
@@ -25,6 +26,7 @@
  * @param random random number generator
  * @param retryBudget limits how often requests are sent again
  * @param load load that this node's requests put on engines
+ * @param loads what is known of the load of all nodes
  * @param zoneLinks this node's share of the capacity of the links between zones
  * @param liveness checks whether an engine accepts connections
  * @param loopLag delays of this node's event loop; while it is delayed, a timeout does not show
@@ -47,6 +49,7 @@
         RandomGenerator random,
         RetryBudget retryBudget,
         EngineLoad load,
+        LoadView loads,
         InterZoneBudget zoneLinks,
         LivenessProbe liveness,
         LoopLag loopLag,
--- a/src/test/java/hyssopturn/ArchitectureTest.java
+++ b/src/test/java/hyssopturn/ArchitectureTest.java
@@ -25,6 +25,7 @@
         "hyssopturn.chain..",
         "hyssopturn.fleet..",
         "hyssopturn.limit..",
+        "hyssopturn.load..",
         "hyssopturn.quarantine.."
     };
 
--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -7,6 +7,7 @@
 import hyssopturn.fleet.Evidence;
 import hyssopturn.limit.EndpointLimits;
 import hyssopturn.limit.SoleIssuer;
+import hyssopturn.load.LoadView;
 import hyssopturn.model.Address;
 import hyssopturn.model.InstanceId;
 import hyssopturn.model.LayerRange;
@@ -137,6 +138,7 @@
                         new SplittableRandom(1),
                         retryBudget,
                         load,
+                        LoadView.NONE,
                         new InterZoneBudget(1),
                         (address, reference) ->
                                 CompletableFuture.completedFuture(
--- a/src/test/java/hyssopturn/relay/EndpointChecksTest.java
+++ b/src/test/java/hyssopturn/relay/EndpointChecksTest.java
@@ -14,6 +14,7 @@
 import hyssopturn.fleet.Roster;
 import hyssopturn.fleet.TestEndpoints;
 import hyssopturn.limit.SoleIssuer;
+import hyssopturn.load.LoadView;
 import hyssopturn.model.Address;
 import hyssopturn.port.Liveness;
 import hyssopturn.quarantine.PromptGuard;
@@ -75,6 +76,7 @@
                 random,
                 new RetryBudget(0.2, Duration.ofSeconds(10).toNanos(), 100, 1),
                 new EngineLoad(random, NODES_IN_ZONE),
+                LoadView.NONE,
                 new InterZoneBudget(1),
                 this::probe,
                 loopLag,
