Priority of accounts, and priority of streams at engines

Cause: Route.priority was decoded but not used, an account's priority was not decoded, and engines never received a request's priority.

Change: an account may have a Priority, which overrides its route's. The effective priority, limited to 0..9, is sent to engines for streams of services whose routes or accounts differ in priority. A caller's own value of the header is removed. A malformed priority of an account counts as absent and a route's as 0 (a route with one was rejected as a whole before); each list is reported in one line.

--- a/src/main/java/hyssopturn/catalog/Catalog.java
+++ b/src/main/java/hyssopturn/catalog/Catalog.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -18,6 +19,7 @@
     private final Optional<Map<String, Account>> accounts;
     private final CallerLimits limits;
     private final CatalogGaps gaps;
+    private final Set<String> servicesWithPriorities;
 
     /** A route, empty if it could not be read, and the requests that it applies to. */
     private record Entry(RouteKey key, Optional<Route> route) {}
@@ -72,6 +74,9 @@
         services.forEach(s -> this.services.put(s.name(), s));
         this.accounts = accounts.map(Map::copyOf);
         this.limits = limits;
+        servicesWithPriorities =
+                Priorities.servicesWithSeveral(
+                        routes, this.accounts.map(a -> Set.copyOf(a.values())).orElse(Set.of()));
     }
 
     /**
@@ -142,6 +147,16 @@
         return accounts.map(a -> a.get(key));
     }
 
+    /**
+     * Returns whether requests to a service may have different priorities.
+     *
+     * @param service name of the service
+     * @return true if its routes or the accounts give it more than one priority
+     */
+    public boolean hasSeveralPriorities(String service) {
+        return servicesWithPriorities.contains(service);
+    }
+
     /**
      * Returns whether the configuration has client accounts.
      *
--- a/src/main/java/hyssopturn/platform/CatalogDecoder.java
+++ b/src/main/java/hyssopturn/platform/CatalogDecoder.java
@@ -78,6 +78,8 @@
         List<ServiceSpec> services = services();
         Optional<Map<String, Account>> accounts = accounts();
         CallerLimits limits = limits();
+        reportPriorities("Routes");
+        reportPriorities("Tenants");
         CatalogGaps gaps =
                 new CatalogGaps(
                         routesUnreadable, unreadableRoutes, accountsUnreadable, servicesUnreadable);
@@ -182,7 +184,7 @@
     }
 
     private static void addKeys(JsonNode node, Map<String, Account> accounts) {
-        Account account = new Account(text(node, "Name"));
+        Account account = new Account(text(node, "Name"), CatalogEntries.priority(node));
         JsonNode keys = node.path("ApiKeys");
         if (!keys.isArray() && !keys.isMissingNode()) {
             throw new JsonValue.MalformedException("ApiKeys must be an array");
@@ -206,9 +208,26 @@
         }
     }
 
-    private void report(String kind, JsonNode node, RuntimeException error) {
+    /** Reports the malformed priorities of a list in one message, since a list may be long. */
+    private void reportPriorities(String list) {
+        List<JsonNode> malformed =
+                config.path(list)
+                        .valueStream()
+                        .filter(CatalogEntries::malformedPriority)
+                        .toList();
+        if (!malformed.isEmpty()) {
+            String first = shortName(malformed.getFirst());
+            unreadable.add(
+                    "Priority of " + malformed.size() + " of " + list + " ignored, first " + first);
+        }
+    }
+
+    private static String shortName(JsonNode node) {
         String name = node.path("Name").asText("");
-        String shortName = name.substring(0, Math.min(name.length(), MAX_NAME_LENGTH));
-        unreadable.add(kind + " " + shortName + ": " + error.getMessage());
+        return name.substring(0, Math.min(name.length(), MAX_NAME_LENGTH));
+    }
+
+    private void report(String kind, JsonNode node, RuntimeException error) {
+        unreadable.add(kind + " " + shortName(node) + ": " + error.getMessage());
     }
 }
--- a/src/main/java/hyssopturn/platform/CatalogEntries.java
+++ b/src/main/java/hyssopturn/platform/CatalogEntries.java
@@ -21,9 +21,11 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 /** Decodes single entries of the operator's configuration; a malformed one is rejected. */
 final class CatalogEntries {
+    private static final String PRIORITY = "Priority";
     private static final String STREAMING = "streaming";
     private static final String IDEMPOTENT = "idempotent";
     private static final double MILLIS_PER_SECOND = 1_000;
@@ -47,7 +49,7 @@
                 millis(node, "TargetLatencyMs"),
                 millis(node, "GapAimMs"),
                 (int) Math.max(1, integer(node, "MaxAttempts", 1)),
-                (int) integer(node, "Priority", 0),
+                priority(node).orElse(0),
                 bool(node, "AnonymousAccess"),
                 shares(node));
     }
@@ -122,6 +124,20 @@
                 Duration.ofMillis(integer(node, "IdleTimeoutMs", DEFAULT_IDLE_MILLIS)));
     }
 
+    /** Returns the priority of a route or an account; a malformed one counts as absent. */
+    static OptionalInt priority(JsonNode node) {
+        JsonNode value = node.path(PRIORITY);
+        return value.isIntegralNumber() && value.canConvertToInt()
+                ? OptionalInt.of(value.asInt())
+                : OptionalInt.empty();
+    }
+
+    /** Returns whether an entry has a priority that cannot be read. */
+    static boolean malformedPriority(JsonNode node) {
+        JsonNode value = node.path(PRIORITY);
+        return !value.isMissingNode() && !value.isNull() && priority(node).isEmpty();
+    }
+
     private static Duration timeout(JsonNode node) {
         long millis = integer(node, "TimeoutMs");
         if (millis <= 0) {
--- a/src/main/java/hyssopturn/platform/PlatformHeaders.java
+++ b/src/main/java/hyssopturn/platform/PlatformHeaders.java
@@ -43,6 +43,7 @@
     private static final String RATE_LIMIT = "Server-Limit";
     private static final String RETRY_AFTER = "Retry-After";
     private static final String LAST_EVENT_ID = "Last-Event-Id";
+    private static final String PRIORITY = "Hyssopturn-Request-Priority";
     private static final String HOST = "Host";
     private static final int CLIENT_ERROR = 400;
     private static final int MISDIRECTED = 421;
@@ -132,11 +133,13 @@
         to.remove(ACCOUNT);
         to.remove(LAST_EVENT_ID);
         to.remove(CHAIN);
+        to.remove(PRIORITY);
         to.set(HOST, from.get(HOST));
         to.set(DEADLINE, String.valueOf(Math.max(1, offer.timeout().toMillis())));
         to.set(EXPECTED_INSTANCE, offer.endpoint().id().value());
         offer.account().ifPresent(a -> to.set(ACCOUNT, a.name()));
         offer.chain().ifPresent(c -> to.set(CHAIN, chain(c)));
+        offer.priority().ifPresent(p -> to.set(PRIORITY, String.valueOf(p)));
         offer.resumeAfter().ifPresent(id -> to.set(LAST_EVENT_ID, String.valueOf(id)));
     }
 
--- a/src/main/java/hyssopturn/relay/Admitted.java
+++ b/src/main/java/hyssopturn/relay/Admitted.java
@@ -2,12 +2,14 @@
 
 import hyssopturn.catalog.Account;
 import hyssopturn.catalog.Catalog;
+import hyssopturn.catalog.Priorities;
 import hyssopturn.catalog.Route;
 
 import io.vertx.core.buffer.Buffer;
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 /** A request that was admitted, with the configuration that applies to it. */
 record Admitted(
@@ -22,6 +24,18 @@
         return headers.id().orElse("");
     }
 
+    /** Returns the priority of the request, from 0, the most urgent, to 9. */
+    int priority() {
+        return Priorities.effective(route, account);
+    }
+
+    /** Returns the priority that engines receive, empty if all requests to the service share one. */
+    OptionalInt sentPriority() {
+        return catalog.hasSeveralPriorities(service)
+                ? OptionalInt.of(priority())
+                : OptionalInt.empty();
+    }
+
     /** Returns how long the caller waits, but no longer than the route allows. */
     Duration timeout() {
         Duration timeout = route.timeout();
--- a/src/main/java/hyssopturn/relay/Attempt.java
+++ b/src/main/java/hyssopturn/relay/Attempt.java
@@ -7,6 +7,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /**
@@ -15,6 +16,7 @@
  * @param endpoint the endpoint that the request is sent to
  * @param chain engines that run the request, empty for a plain service
  * @param account account of the caller
+ * @param priority priority of the request, empty if it is not passed on
  * @param timeout how long the endpoint may work on the request
  * @param resumeAfter id of the last event that the caller has, empty to start at the first event
  */
@@ -22,6 +24,7 @@
         Endpoint endpoint,
         Optional<EngineChain> chain,
         Optional<Account> account,
+        OptionalInt priority,
         Duration timeout,
         OptionalLong resumeAfter) {
     /** Describes for the log that a request is offered to the endpoint. */
--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -15,6 +15,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.SequencedMap;
 import java.util.stream.Stream;
@@ -87,6 +88,7 @@
                         endpoint,
                         Optional.empty(),
                         admitted.account(),
+                        OptionalInt.empty(),
                         remaining(),
                         OptionalLong.empty());
         openRequest(attempt).onComplete(r -> send(started, r), e -> unreachable(started, e));
--- a/src/main/java/hyssopturn/relay/StreamAttempt.java
+++ b/src/main/java/hyssopturn/relay/StreamAttempt.java
@@ -64,6 +64,7 @@
                         first(),
                         Optional.of(chain),
                         call.admitted.account(),
+                        call.admitted.sentPriority(),
                         call.remaining(),
                         resumeAfter);
         call.openRequest(attempt).onComplete(this::send, e -> call.unreachable(this, e));
