Nodes exchange their loads through a few that add them up

Each node assumed that the others hold what it holds itself, so busy nodes refused while others had capacity, and many nodes chose the same engine. Nodes now report their load by service and zone to the holder of a partition and to a stand-in, and get the sum of all nodes back. EngineLoad uses the sum where it is known. LoadExchangeTest (faults in virtual time) passes.

--- a/src/main/java/hyssopturn/chain/ChainSearch.java
+++ b/src/main/java/hyssopturn/chain/ChainSearch.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
@@ -175,19 +176,29 @@
     }
 
     /**
-     * Returns the tokens that fit at the layer with the least memory, beside the zone's own
-     * callers.
+     * Returns the tokens that fit at the layer with the least memory, beside what is held there. If
+     * that is not known of every engine, it is estimated by the zone's own callers.
      */
     private double spareTokens(List<Candidate> engines) {
         double[] capacity = new double[spec.layers()];
+        double[] spare = new double[spec.layers()];
+        boolean known = true;
         for (Candidate c : engines) {
+            OptionalDouble used = load.knownTokens(c.engine.id());
+            known &= used.isPresent();
+            double free = Math.max(0, c.capacity - used.orElse(0));
             for (int layer = c.held.from();
                     layer < Math.min(c.held.to(), capacity.length);
                     layer++) {
                 capacity[layer] += c.capacity / c.held.size();
+                spare[layer] += free / c.held.size();
             }
         }
-        return Arrays.stream(capacity).min().orElse(0) - load.zoneTokens();
+        return known ? least(spare) : least(capacity) - load.zoneTokens();
+    }
+
+    private static double least(double[] tokens) {
+        return Arrays.stream(tokens).min().orElse(0);
     }
 
     /**
--- a/src/main/java/hyssopturn/chain/EngineLoad.java
+++ b/src/main/java/hyssopturn/chain/EngineLoad.java
@@ -1,20 +1,26 @@
 package hyssopturn.chain;
 
+import hyssopturn.fleet.Endpoint;
+import hyssopturn.load.LoadScope;
+import hyssopturn.load.LoadView;
+import hyssopturn.load.OwnLoad;
 import hyssopturn.model.InstanceId;
 
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.random.RandomGenerator;
 
 /**
  * The tokens that this node's requests hold at each engine, and an estimate for the requests of all
  * nodes; not thread-safe.
  *
- * <p>Nodes do not exchange their loads; each assumes that the others behave as it does itself. The
- * more nodes there are, the less a node's own few requests reveal about a single engine. The
- * estimate therefore gets random noise of up to one further request: nodes with equally little
- * information then choose differently, and together fill the engines evenly.
+ * <p>While the loads of the other nodes are known, the estimate is their sum. Else the node assumes
+ * that the others behave as it does itself. The more nodes there are, the less a node's own few
+ * requests reveal about a single engine. Both estimates get random noise, of up to one further
+ * request and in proportion to what others may have started since: nodes with the same information
+ * then choose differently, and together fill the engines evenly.
  */
 public final class EngineLoad {
     /**
@@ -28,7 +34,16 @@
      */
     static final int PENALTY_BACKOFFS = 3;
 
+    /**
+     * Noise of an estimate, as a multiple of what other nodes started at an engine on average since
+     * its load was measured. The range must hold so many engines that they together get what is
+     * started in that time.
+     */
+    private static final double NOISE_PER_STARTED = 3;
+
     private final RandomGenerator random;
+    private final OwnLoad own;
+    private final LoadView others;
     private final Map<InstanceId, Long> refusedNanos = new HashMap<>();
     private final Map<InstanceId, Long> layerTokens = new HashMap<>();
     private double nodesPerZone;
@@ -42,7 +57,22 @@
      *     included
      */
     public EngineLoad(RandomGenerator random, double nodesPerZone) {
+        this(random, nodesPerZone, new OwnLoad(), LoadView.NONE);
+    }
+
+    /**
+     * Creates a load of zero that is passed on to other nodes.
+     *
+     * @param random source of the noise in the estimates
+     * @param nodesPerZone number of nodes that share an availability zone's engines, this one
+     *     included
+     * @param own receives the load of this node
+     * @param others what is known of the load of all nodes
+     */
+    public EngineLoad(RandomGenerator random, double nodesPerZone, OwnLoad own, LoadView others) {
         this.random = random;
+        this.own = own;
+        this.others = others;
         this.nodesPerZone = nodesPerZone;
     }
 
@@ -86,10 +116,21 @@
         change(chain, -tokens);
     }
 
+    /**
+     * Returns this node's own load as other nodes are told.
+     *
+     * @return the load, in which streams are counted
+     */
+    public OwnLoad own() {
+        return own;
+    }
+
     private void change(EngineChain chain, long tokens) {
         for (Hop hop : chain.hops()) {
             long more = tokens * hop.range().size();
-            layerTokens.merge(hop.engine().id(), more, (a, b) -> a + b == 0 ? null : a + b);
+            Endpoint engine = hop.engine();
+            layerTokens.merge(engine.id(), more, (a, b) -> a + b == 0 ? null : a + b);
+            own.change(new LoadScope(engine.service(), engine.zone()), engine.id(), more);
         }
     }
 
@@ -134,6 +175,12 @@
      * @return the part, about 0 to 1, and more if the engine refused a request a short time ago
      */
     double estimateUse(InstanceId engine, double capacity, double request, long nowNanos) {
+        OptionalDouble known = others.usedTokens(engine);
+        if (known.isPresent()) {
+            double noise = request + NOISE_PER_STARTED * others.uncertainTokens(engine);
+            double tokens = known.getAsDouble() + noise * random.nextDouble();
+            return tokens / capacity + refusalPenalty(engine, nowNanos);
+        }
         double ownEstimate = ownTokens(engine) + request * random.nextDouble();
         return nodesPerZone * ownEstimate / capacity + refusalPenalty(engine, nowNanos);
     }
@@ -154,6 +201,16 @@
         return nodesPerZone * totalTokens;
     }
 
+    /**
+     * Returns the tokens that the requests of all nodes hold at an engine, where they are known.
+     *
+     * @param engine the engine
+     * @return number of tokens of one layer, empty if the load of the other nodes is not known
+     */
+    OptionalDouble knownTokens(InstanceId engine) {
+        return others.usedTokens(engine);
+    }
+
     /**
      * Counts the tokens that this node's requests hold at an engine.
      *
--- a/src/main/java/hyssopturn/fleet/Roster.java
+++ b/src/main/java/hyssopturn/fleet/Roster.java
@@ -540,6 +540,16 @@
         return found;
     }
 
+    /**
+     * Finds an endpoint by its name.
+     *
+     * @param id its name
+     * @return the endpoint, empty if it is not known
+     */
+    public Optional<Endpoint> find(InstanceId id) {
+        return Optional.ofNullable(entries.get(id)).map(entry -> entry.endpoint);
+    }
+
     /**
      * Finds the endpoint at an address.
      *
--- a/src/main/java/hyssopturn/load/LoadView.java
+++ b/src/main/java/hyssopturn/load/LoadView.java
@@ -37,4 +37,15 @@
      * @return the tokens, this node's own included, empty if too little is known or it is too old
      */
     OptionalDouble usedTokens(InstanceId engine);
+
+    /**
+     * Estimates the tokens of one layer that other nodes started to hold at an engine since its
+     * load was measured; it shows how uncertain {@link #usedTokens} is.
+     *
+     * @param engine the engine
+     * @return the tokens, 0 if nothing is known
+     */
+    default double uncertainTokens(InstanceId engine) {
+        return 0;
+    }
 }
--- /dev/null
+++ b/src/main/java/hyssopturn/load/Rate.java
@@ -0,0 +1,36 @@
+package hyssopturn.load;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** A count, and how fast it grew of late. */
+final class Rate {
+    /** Time between two marks; at most {@link #MARKS} of them are kept, so a rate is over 2 s. */
+    private static final long MARK_INTERVAL_NANOS = Duration.ofMillis(250).toNanos();
+
+    private static final int MARKS = 8;
+    private static final double SECOND_NANOS = Duration.ofSeconds(1).toNanos();
+
+    private final Deque<Mark> marks = new ArrayDeque<>();
+    private long total;
+
+    private record Mark(long nanos, long total) {}
+
+    void add(long amount) {
+        total += amount;
+    }
+
+    /** Returns the growth in a second, over the last two seconds or since the first call. */
+    double perSecond(long nowNanos) {
+        if (marks.isEmpty() || nowNanos - marks.getLast().nanos >= MARK_INTERVAL_NANOS) {
+            marks.addLast(new Mark(nowNanos, total));
+        }
+        while (marks.size() > MARKS) {
+            marks.removeFirst();
+        }
+        Mark first = marks.getFirst();
+        double seconds = Math.max(nowNanos - first.nanos, MARK_INTERVAL_NANOS) / SECOND_NANOS;
+        return (total - first.total) / seconds;
+    }
+}
--- a/src/main/java/hyssopturn/node/IssuerReader.java
+++ b/src/main/java/hyssopturn/node/IssuerReader.java
@@ -10,8 +10,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Reads which node holds each partition, and so issues the grants of its endpoints: often while an
- * endpoint has a limit, and seldom otherwise.
+ * Reads which node holds each partition, and so issues the grants of its endpoints and adds up
+ * loads: often while an endpoint has a limit or a holder has changed, and seldom otherwise.
  */
 final class IssuerReader {
     private static final Duration TICK = Duration.ofMillis(250);
@@ -28,13 +28,15 @@
 
     private final Duties duties;
     private final EndpointLimits limits;
+    private final LoadSharing loads;
     private final Clock clock;
     private boolean reading;
     private long readNanos;
 
-    IssuerReader(Duties duties, EndpointLimits limits, Clock clock) {
+    IssuerReader(Duties duties, EndpointLimits limits, LoadSharing loads, Clock clock) {
         this.duties = duties;
         this.limits = limits;
+        this.loads = loads;
         this.clock = clock;
     }
 
@@ -53,7 +55,7 @@
 
     private Duration interval() {
         if (!limits.active()) {
-            return IDLE_INTERVAL;
+            return loads.ownersOutdated() ? ACTIVE_INTERVAL : IDLE_INTERVAL;
         }
         return limits.ownersOutdated() ? TICK : ACTIVE_INTERVAL;
     }
@@ -67,6 +69,7 @@
                             reading = false;
                             if (error == null) {
                                 limits.owners(owners);
+                                loads.owners(owners);
                             } else {
                                 logger.atWarning().atMostEvery(WARN_SECONDS, TimeUnit.SECONDS).log(
                                         "cannot read the holders of partitions: %s", error);
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -5,7 +5,6 @@
 import hyssopturn.chain.LayerController;
 import hyssopturn.fleet.FaultReport;
 import hyssopturn.limit.EndpointLimits;
-import hyssopturn.load.LoadView;
 import hyssopturn.log.Backoff;
 import hyssopturn.log.KeyedFollower;
 import hyssopturn.model.Address;
@@ -95,6 +94,7 @@
     private final EndpointLimits limits;
     private final IssuerReader issuers;
     private final RetryBudget retries;
+    private final LoadSharing loads;
     private final EngineLoad load;
     private final InterZoneBudget pipes;
     private final CallerServers servers;
@@ -123,7 +123,8 @@
                         new EventCounters(meters));
         SplittableRandom random = new SplittableRandom();
         retries = retries(settings);
-        load = new EngineLoad(random, nodesInZone(settings.nodes()));
+        loads = new LoadSharing(vertx, platform, knowledge, clock, random, meters);
+        load = new EngineLoad(random, nodesInZone(settings.nodes()), loads.own(), loads.view());
         pipes = new InterZoneBudget(settings.nodes());
         HttpClient endpointClient =
                 HttpClients.withoutKeepAlive(
@@ -160,7 +161,7 @@
                                 random,
                                 retries,
                                 load,
-                                LoadView.NONE,
+                                loads.view(),
                                 pipes,
                                 new ConnectProbe(vertx, PROBE_TIMEOUT),
                                 new LoopLag(),
@@ -184,7 +185,7 @@
                         new FaultStreamListener(faultReporter, quarantineReporter, prompts));
         adapter.log().whenRestored(this::storeRestored);
         layers = layers(adapter);
-        issuers = new IssuerReader(adapter.duties(), limits, clock);
+        issuers = new IssuerReader(adapter.duties(), limits, loads, clock);
     }
 
     private EndpointLimits limits(RandomGenerator random) {
@@ -304,6 +305,7 @@
 
     private void dutiesAssigned(Duties.Assignment assignment, long untilNanos) {
         limits.assign(assignment.partitions(), untilNanos);
+        loads.assign(assignment.partitions());
         if (assignment.share() != share) {
             share = assignment.share();
             trace.record(new TraceEvent.ShareDealt(share, assignment.nodes()));
@@ -340,6 +342,7 @@
                     faults.start();
                     layers.start();
                     limitSocket.listen(platform.peers(), limits::receive);
+                    loads.start();
                     issuers.start();
                     relay.start();
                 });
--- a/src/main/java/hyssopturn/platform/PlatformSettings.java
+++ b/src/main/java/hyssopturn/platform/PlatformSettings.java
@@ -54,6 +54,9 @@
         int partitions) {
     private static final TomlMapper TOML = new TomlMapper();
     private static final double MILLIS_PER_SECOND = 1_000;
+    private static final int METRICS_PORT = 0;
+    private static final int PEER_PORT = 1;
+    private static final int LOAD_PORT = 3;
     private static final double DEFAULT_LEAVE_NOTICE_MILLIS = 2_000;
     private static final double DEFAULT_CATCH_UP_MILLIS = 3_000;
 
@@ -85,8 +88,8 @@
                 Math.max(1, file.path("Zones").size()),
                 Address.parse(text(listen, "Front")),
                 Address.parse(text(listen, "ReadinessAddress")),
-                internal(file, 0),
-                internal(file, 1),
+                internal(file, METRICS_PORT),
+                internal(file, PEER_PORT),
                 Address.parse(text(store, "Address")),
                 seconds(bounds, "GraceS"),
                 millis(bounds, "DrainMs", DEFAULT_LEAVE_NOTICE_MILLIS),
@@ -97,6 +100,25 @@
                 (int) Math.max(1, integer(store, "parts", 1)));
     }
 
+    /**
+     * Returns the address at which other nodes send messages about load to this one.
+     *
+     * @return the address, on the fourth of the ports that the platform reserves
+     */
+    public Address loads() {
+        return loads(peers);
+    }
+
+    /**
+     * Returns the address at which a node receives messages about load.
+     *
+     * @param peers address at which other nodes reach the node
+     * @return the address; all nodes use the reserved ports in the same order
+     */
+    public static Address loads(Address peers) {
+        return new Address(peers.host(), peers.port() + LOAD_PORT - PEER_PORT);
+    }
+
     /** Returns one of the addresses that the platform reserves for the product's own use. */
     private static Address internal(JsonNode file, int index) {
         return new Address(text(file, "Ip"), file.path("InternalPorts").path(0).asInt() + index);
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -47,6 +47,7 @@
     private final ChainMoves moves;
     private final Resumption resumption;
     private final SilenceWait silenceWait;
+    private final StreamCounting counting;
     private final Set<InstanceId> avoidedFirst = new HashSet<>();
     private int possibleRuns;
     private boolean moved;
@@ -67,6 +68,7 @@
         moves = new ChainMoves(context, this, chainFinder);
         resumption = new Resumption(context, this, stallDetector.retryQueue());
         silenceWait = new SilenceWait(context, this, stallDetector.retryQueue());
+        counting = new StreamCounting(context.load().own(), admitted);
     }
 
     @Override
@@ -74,6 +76,7 @@
         if (endIfQuarantined()) {
             return;
         }
+        counting.asked();
         if (response.headWritten()) {
             resumption.start();
             return;
@@ -171,6 +174,7 @@
         StreamAttempt attempt =
                 new StreamAttempt(context, this, begin.id(), found, chainFinder.tokens(), pace);
         open.put(begin.id(), attempt);
+        counting.started();
         attempt.start(attempts.lastDelivered());
     }
 
@@ -363,6 +367,7 @@
         }
         stallDetector.recordEvents(attempt);
         recordDelivery();
+        counting.delivered(now());
         resumption.markDelivered();
         if (attempt.countDelivery() == DELIVERIES_OF_BEGUN_ANSWER) {
             begun = true;
@@ -521,6 +526,7 @@
         stallDetector.remove(this);
         resumption.release();
         silenceWait.release();
+        counting.ended(now());
     }
 
     @Override
