Estimate of free memory allows for what other nodes start meanwhile

All nodes saw memory become free at the same time and started requests together: at 400 nodes of one zone up to 1.22 of the memory was used, and 0.84 on average. Each decision now draws how much of what clients ask for the others have started since.

--- a/src/main/java/hyssopturn/chain/ChainSearch.java
+++ b/src/main/java/hyssopturn/chain/ChainSearch.java
@@ -183,8 +183,9 @@
         double[] capacity = new double[spec.layers()];
         double[] spare = new double[spec.layers()];
         boolean known = true;
+        double draw = random.nextDouble();
         for (Candidate c : engines) {
-            OptionalDouble used = load.knownTokens(c.engine.id());
+            OptionalDouble used = load.predictedTokens(c.engine.id(), draw);
             known &= used.isPresent();
             double free = Math.max(0, c.capacity - used.orElse(0));
             for (int layer = c.held.from();
--- a/src/main/java/hyssopturn/chain/EngineLoad.java
+++ b/src/main/java/hyssopturn/chain/EngineLoad.java
@@ -202,13 +202,22 @@
     }
 
     /**
-     * Returns the tokens that the requests of all nodes hold at an engine, where they are known.
+     * Predicts the tokens that the requests of all nodes hold at an engine, where those that they
+     * held a short time ago are known. What the others have started since lies between nothing and
+     * all that their clients asked for; if every node assumed the mean, all would start requests at
+     * the same time, and stop together. So each decision draws a position in that range.
      *
      * @param engine the engine
+     * @param draw position in the range, from 0 to 1, the same for all engines of a decision
      * @return number of tokens of one layer, empty if the load of the other nodes is not known
      */
-    OptionalDouble knownTokens(InstanceId engine) {
-        return others.usedTokens(engine);
+    OptionalDouble predictedTokens(InstanceId engine, double draw) {
+        OptionalDouble used = others.usedTokens(engine);
+        if (used.isEmpty()) {
+            return used;
+        }
+        double since = draw * others.askedPerStarted(engine) - 1;
+        return OptionalDouble.of(used.getAsDouble() + since * others.uncertainTokens(engine));
     }
 
     /**
--- a/src/main/java/hyssopturn/load/LoadExchange.java
+++ b/src/main/java/hyssopturn/load/LoadExchange.java
@@ -57,6 +57,9 @@
     /** Time after a pause during which no sums are told, as long as it takes to hear all nodes. */
     private static final Duration RECOVERY = Duration.ofMillis(1_200);
 
+    /** Bound of the ratio of streams asked for to streams started, which few streams inflate. */
+    private static final double MAX_ASKED_PER_STARTED = 4;
+
     private static final double JITTER = 0.1;
     private static final double SECOND_NANOS = Duration.ofSeconds(1).toNanos();
 
@@ -338,6 +341,22 @@
                 / Math.max(1, load.engines().size());
     }
 
+    @Override
+    public double askedPerStarted(InstanceId engine) {
+        long now = clock.nanos();
+        Optional<ScopeQuery.Known> known = scopeOf.apply(engine).flatMap(s -> known(s, now));
+        if (known.isEmpty()) {
+            return 1;
+        }
+        double asked = 0;
+        double started = 0;
+        for (PriorityLoad load : known.get().message().load().priorities()) {
+            asked += load.askedPerSecond();
+            started += load.startedPerSecond();
+        }
+        return started == 0 ? 1 : Math.clamp(asked / started, 1, MAX_ASKED_PER_STARTED);
+    }
+
     /** Returns the part of a sum that is not this node's own, if all nodes are alike. */
     private static double othersPart(ScopeQuery.Known known) {
         int nodes = Math.max(1, known.message().nodes());
--- a/src/main/java/hyssopturn/load/LoadView.java
+++ b/src/main/java/hyssopturn/load/LoadView.java
@@ -48,4 +48,14 @@
     default double uncertainTokens(InstanceId engine) {
         return 0;
     }
+
+    /**
+     * Returns how many streams clients ask for in an engine's zone, for each one that is started.
+     *
+     * @param engine the engine
+     * @return the ratio, 1 or more; 1 if nothing is known
+     */
+    default double askedPerStarted(InstanceId engine) {
+        return 1;
+    }
 }
--- a/src/main/java/hyssopturn/load/OwnLoad.java
+++ b/src/main/java/hyssopturn/load/OwnLoad.java
@@ -10,6 +10,12 @@
 
 /** Load by this node's own requests; not thread-safe. */
 public final class OwnLoad {
+    /** Time over which rates of streams are measured; a node starts few of them in a second. */
+    private static final double STREAM_SECONDS = 2;
+
+    /** Time over which rates of tokens are measured; a longer one would lag behind the load. */
+    private static final double TOKEN_SECONDS = 1;
+
     private final Map<LoadScope, Engines> engines = new HashMap<>();
     private final Map<String, TreeMap<Integer, StreamCounts>> streams = new HashMap<>();
 
@@ -18,8 +24,8 @@
 
     private static final class Engines {
         private final Map<InstanceId, Long> tokens = new HashMap<>();
-        private final Rate started = new Rate();
-        private final Rate ended = new Rate();
+        private final Rate started = new Rate(TOKEN_SECONDS);
+        private final Rate ended = new Rate(TOKEN_SECONDS);
 
         void change(InstanceId engine, long more) {
             tokens.merge(engine, more, (a, b) -> a + b == 0 ? null : a + b);
@@ -40,10 +46,10 @@
 
     /** Streams of one priority of a service; not thread-safe. */
     public static final class StreamCounts {
-        private final Rate asked = new Rate();
-        private final Rate started = new Rate();
-        private final Rate firstEvents = new Rate();
-        private final Rate late = new Rate();
+        private final Rate asked = new Rate(STREAM_SECONDS);
+        private final Rate started = new Rate(STREAM_SECONDS);
+        private final Rate firstEvents = new Rate(STREAM_SECONDS);
+        private final Rate late = new Rate(STREAM_SECONDS);
         private long held;
 
         /** Counts a stream that a client asked for, and that is held until it is started. */
--- a/src/main/java/hyssopturn/load/Rate.java
+++ b/src/main/java/hyssopturn/load/Rate.java
@@ -6,27 +6,32 @@
 
 /** A count, and how fast it grew of late. */
 final class Rate {
-    /** Time between two marks; at most {@link #MARKS} of them are kept, so a rate is over 2 s. */
+    /** Time between two marks from which the growth is computed. */
     private static final long MARK_INTERVAL_NANOS = Duration.ofMillis(250).toNanos();
 
-    private static final int MARKS = 8;
     private static final double SECOND_NANOS = Duration.ofSeconds(1).toNanos();
 
     private final Deque<Mark> marks = new ArrayDeque<>();
+    private final int marksKept;
     private long total;
 
+    /** Creates a count of zero whose growth is over about a number of seconds. */
+    Rate(double seconds) {
+        marksKept = (int) Math.ceil(seconds * SECOND_NANOS / MARK_INTERVAL_NANOS);
+    }
+
     private record Mark(long nanos, long total) {}
 
     void add(long amount) {
         total += amount;
     }
 
-    /** Returns the growth in a second, over the last two seconds or since the first call. */
+    /** Returns the growth in a second, of late or since the first call. */
     double perSecond(long nowNanos) {
         if (marks.isEmpty() || nowNanos - marks.getLast().nanos >= MARK_INTERVAL_NANOS) {
             marks.addLast(new Mark(nowNanos, total));
         }
-        while (marks.size() > MARKS) {
+        while (marks.size() > marksKept) {
             marks.removeFirst();
         }
         Mark first = marks.getFirst();
