Shared reading of the store: hubs, readers and their datagrams (in progress)

Every node reads three streams and the holders of partitions by itself, 2.9 calls a second and node.

--- a/src/main/java/hyssopturn/fleet/Roster.java
+++ b/src/main/java/hyssopturn/fleet/Roster.java
@@ -224,6 +224,16 @@
         return list(e -> e.reportedOnly(nowNanos));
     }
 
+    /**
+     * Lists the endpoints under suspicion, which their next announcement may end.
+     *
+     * @param nowNanos time now
+     * @return the endpoints, in no particular order
+     */
+    public List<Endpoint> suspected(long nowNanos) {
+        return list(e -> e.suspected(nowNanos));
+    }
+
     /**
      * Records that an endpoint declared that it accepts no new requests.
      *
--- a/src/main/java/hyssopturn/log/KeyedFollower.java
+++ b/src/main/java/hyssopturn/log/KeyedFollower.java
@@ -25,7 +25,7 @@
 
     private final KeyedLog log;
     private final String stream;
-    private final Pacing pacing;
+    private Pacing pacing;
     private final Clock clock;
     private final Backoff backoff;
     private final Listener listener;
@@ -33,6 +33,12 @@
     private long attempt;
     private boolean failing;
     private boolean stopped;
+    private boolean suspended;
+    private boolean idle;
+    private boolean resumed;
+    private long readNanos;
+    private long listedNanos;
+    private long reads;
 
     /**
      * Timing of the reads.
@@ -58,6 +64,16 @@
          */
         void records(KeyedLog.Page page);
 
+        /**
+         * Receives records that another node has read.
+         *
+         * @param page the records, possibly none
+         * @param readNanos time as of which they are all that the stream holds
+         */
+        default void records(KeyedLog.Page page, long readNanos) {
+            records(page);
+        }
+
         /** Receives that the stream has returned from an older copy and is read anew. */
         default void restored() {
             // what the listener knows may be more than the stream holds, and stays true
@@ -106,16 +122,143 @@
         stopped = true;
     }
 
+    /** Reads again, at once if reads were suspended. */
+    public void resume() {
+        if (suspended) {
+            suspended = false;
+            if (idle) {
+                resumed = true;
+                read();
+            }
+        }
+    }
+
+    /** Reads once without waiting for a record, if reads are suspended and none is in progress. */
+    public void readOnce() {
+        if (suspended && idle) {
+            read();
+        }
+    }
+
+    /**
+     * Changes the timing, from the next read on.
+     *
+     * @param timing timing of the reads
+     */
+    public void pace(Pacing timing) {
+        pacing = timing;
+    }
+
+    /**
+     * Receives records that another node has read, and suspends reads. They replace a read in
+     * progress.
+     *
+     * @param page the records and the offset after them
+     * @param from offset from which the page is complete
+     * @param asOfNanos time as of which the page is all that the stream holds
+     * @return false if this node knows more already, or records are missing in between
+     */
+    public boolean receive(KeyedLog.Page page, long from, long asOfNanos) {
+        boolean fits = next >= 0 && from <= next && page.next() >= next;
+        if (stopped || !fits || asOfNanos - readNanos <= 0) {
+            return false;
+        }
+        suspended = true;
+        attempt++;
+        idle = true;
+        failing = false;
+        backoff.reset();
+        long known = next;
+        KeyedLog.Page news =
+                new KeyedLog.Page(
+                        page.entries().stream().filter(e -> e.offset() >= known).toList(),
+                        page.next());
+        next = page.next();
+        readNanos = asOfNanos;
+        tell(() -> listener.records(news, asOfNanos));
+        return true;
+    }
+
+    /**
+     * Returns the offset to read from next.
+     *
+     * @return the offset, negative if the stream must be listed first
+     */
+    public long next() {
+        return next;
+    }
+
+    /**
+     * Returns the time as of which the listener has received all that the stream holds.
+     *
+     * @return the time by the clock, meaningless before the first answer
+     */
+    public long readNanos() {
+        return readNanos;
+    }
+
+    /**
+     * Returns the time at which the stream was last listed as a whole.
+     *
+     * @return the time by the clock, meaningless before the first answer
+     */
+    public long listedNanos() {
+        return listedNanos;
+    }
+
+    /**
+     * Returns whether the last read failed.
+     *
+     * @return true until a read succeeds
+     */
+    public boolean failing() {
+        return failing;
+    }
+
+    /**
+     * Returns whether another node's reads replace those of this one.
+     *
+     * @return true while reads are suspended
+     */
+    public boolean suspended() {
+        return suspended;
+    }
+
+    /**
+     * Returns the number of reads since the start.
+     *
+     * @return the number, failed ones included
+     */
+    public long reads() {
+        return reads;
+    }
+
     private void read() {
         if (stopped) {
             return;
         }
         long thisAttempt = ++attempt;
+        idle = false;
+        reads++;
+        long startNanos = clock.nanos();
         boolean snapshot = next < 0;
-        // after a failure, a long poll would delay the detection that the log is available again
-        Duration readWait = failing ? Duration.ZERO : pacing.readWait();
+        // after a failure, a long poll would delay the detection that the log is available again;
+        // after reads were suspended, it would delay the confirmation of what is known
+        boolean prompt = failing || suspended || resumed;
+        resumed = false;
+        Duration readWait = prompt ? Duration.ZERO : pacing.readWait();
         request(snapshot, readWait)
-                .whenComplete((p, error) -> handleAnswer(thisAttempt, snapshot, p, error));
+                .whenComplete(
+                        (p, error) -> {
+                            if (thisAttempt != attempt) {
+                                return;
+                            }
+                            if (error != null) {
+                                readFailed(error);
+                            } else {
+                                handleAnswer(startNanos, snapshot, readWait, p);
+                            }
+                        });
     }
 
     private CompletableFuture<KeyedLog.Page> request(boolean snapshot, Duration readWait) {
@@ -136,18 +279,15 @@
     }
 
     private void handleAnswer(
-            long thisAttempt, boolean snapshot, KeyedLog.Page page, Throwable error) {
-        if (thisAttempt != attempt) {
-            return;
-        }
-        if (error != null) {
-            readFailed(error);
-            return;
-        }
+            long startNanos, boolean snapshot, Duration readWait, KeyedLog.Page page) {
         backoff.reset();
         failing = false;
         next = page.next();
+        readNanos = asOf(startNanos, page.entries().isEmpty() ? readWait : Duration.ZERO);
         if (snapshot) {
+            // the listing may lack records that are only now repeated
+            suspended = false;
+            listedNanos = clock.nanos();
             tell(() -> listener.snapshot(page));
         } else {
             tell(() -> listener.records(page));
@@ -155,6 +295,12 @@
         readAfter(snapshot ? Duration.ZERO : pacing.pause());
     }
 
+    /** Returns the earliest time at which the log can have given an answer. */
+    private long asOf(long startNanos, Duration waited) {
+        long nowNanos = clock.nanos();
+        return startNanos + Math.min(waited.toNanos(), nowNanos - startNanos);
+    }
+
     /** Continues after a delay, unless the stream is read anew by then. */
     private void readAfter(Duration delay) {
         long thisAttempt = attempt;
@@ -162,11 +308,19 @@
                 delay,
                 () -> {
                     if (thisAttempt == attempt) {
-                        read();
+                        readUnlessSuspended();
                     }
                 });
     }
 
+    private void readUnlessSuspended() {
+        if (suspended && !failing) {
+            idle = true;
+        } else {
+            read();
+        }
+    }
+
     private void readFailed(Throwable error) {
         if (stopped) {
             return;
--- a/src/main/java/hyssopturn/node/CatalogListener.java
+++ b/src/main/java/hyssopturn/node/CatalogListener.java
@@ -50,8 +50,13 @@
 
     @Override
     public void records(KeyedLog.Page page) {
+        records(page, clock.nanos());
+    }
+
+    @Override
+    public void records(KeyedLog.Page page, long readNanos) {
         page.entries().forEach(this::apply);
-        knowledge.markConfirmed(clock.nanos());
+        knowledge.markConfirmed(readNanos);
         if (lost) {
             lost = false;
             trace.record(new TraceEvent.Dependency(STREAM, "regained", ""));
--- a/src/main/java/hyssopturn/node/ConfigKeeper.java
+++ b/src/main/java/hyssopturn/node/ConfigKeeper.java
@@ -83,6 +83,12 @@
         noteStored(page);
     }
 
+    @Override
+    public void records(KeyedLog.Page page, long readNanos) {
+        listener.records(page, readNanos);
+        noteStored(page);
+    }
+
     private void noteStored(KeyedLog.Page page) {
         Optional<Bytes> inForce = listener.inForce().flatMap(KeyedLog.Entry::value);
         if (page.entries().stream().anyMatch(e -> e.value().equals(inForce))) {
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -3,11 +3,8 @@
 import hyssopturn.chain.EngineLoad;
 import hyssopturn.chain.InterZoneBudget;
 import hyssopturn.chain.LayerController;
-import hyssopturn.fleet.FaultReport;
 import hyssopturn.limit.EndpointLimits;
 import hyssopturn.load.LoadView;
-import hyssopturn.log.Backoff;
-import hyssopturn.log.KeyedFollower;
 import hyssopturn.model.Address;
 import hyssopturn.peer.LimitSocket;
 import hyssopturn.platform.PlatformAdapter;
@@ -40,28 +37,12 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.time.Duration;
-import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 
 /** A node on the users' platform that relays requests of callers to endpoints on one event loop. */
 public final class RelayNode {
-    /** Maximum backoff, before jitter, between attempts to read a stream. */
-    private static final Duration MAX_READ_BACKOFF = Duration.ofMillis(300);
-
-    /** Long-poll wait for fault reports, and so how long a dead connection may hide them. */
-    private static final Duration FAULT_READ_WAIT = Duration.ofSeconds(15);
-
-    /** Pause between reads of fault reports, since several nodes usually report the same fault. */
-    private static final Duration FAULT_READ_PAUSE = Duration.ofMillis(100);
-
-    /** Time to detect that a read was lost and to retry it. */
-    private static final Duration LOST_READ_MARGIN = Duration.ofSeconds(1);
-
-    /** Minimum interval between reads of a stream, however short the platform's bounds are. */
-    private static final Duration MIN_READ_INTERVAL = Duration.ofMillis(250);
-
     /** Connect timeout of a liveness probe; many round trips between zones. */
     private static final Duration PROBE_TIMEOUT = Duration.ofMillis(25);
 
@@ -87,13 +68,10 @@
             new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final RoutingState knowledge = new RoutingState();
     private final Relay relay;
-    private final KeyedFollower config;
-    private final KeyedFollower endpoints;
-    private final KeyedFollower faults;
+    private final StoreReading reading;
     private final LayerController layers;
     private final LimitSocket limitSocket;
     private final EndpointLimits limits;
-    private final IssuerReader issuers;
     private final RetryBudget retries;
     private final EngineLoad load;
     private final InterZoneBudget pipes;
@@ -176,15 +154,19 @@
                         bodyMemory);
         servers = new CallerServers(vertx, clock, meters);
         callers = servers.forCallers(relay::handle, knowledge::callerLimits);
-        config = configFollower(adapter);
-        endpoints = endpointFollower(adapter);
-        faults =
-                faultFollower(
+        reading =
+                new StoreReading(
+                        vertx,
+                        platform,
                         adapter,
-                        new FaultStreamListener(faultReporter, quarantineReporter, prompts));
+                        knowledge,
+                        new FaultStreamListener(faultReporter, quarantineReporter, prompts),
+                        limits,
+                        clock,
+                        trace,
+                        meters);
         adapter.log().whenRestored(this::storeRestored);
         layers = layers(adapter);
-        issuers = new IssuerReader(adapter.duties(), limits, clock);
     }
 
     private EndpointLimits limits(RandomGenerator random) {
@@ -216,7 +198,7 @@
         return new LayerController(
                 knowledge::catalog,
                 knowledge.roster(),
-                endpointReadInterval(),
+                reading.endpointInterval(),
                 adapter.duties(),
                 adapter.engines(),
                 clock,
@@ -224,69 +206,13 @@
                 this::dutiesAssigned);
     }
 
-    private static Duration max(Duration a, Duration b) {
-        return a.compareTo(b) > 0 ? a : b;
-    }
-
     private PromptGuard promptGuard(RandomGenerator random, QuarantineReporter reporter) {
         return new PromptGuard(new PromptQuarantine(random.nextDouble()), clock, trace, reporter);
     }
 
-    private KeyedFollower configFollower(PlatformAdapter adapter) {
-        Duration wait = max(platform.catchUpLimit().minus(LOST_READ_MARGIN), MIN_READ_INTERVAL);
-        return follower(
-                adapter,
-                adapter.configStream(),
-                new KeyedFollower.Pacing(wait, Duration.ZERO),
-                new ConfigKeeper(
-                        adapter.log(),
-                        new CatalogListener(knowledge, adapter::catalog, clock, trace),
-                        knowledge,
-                        clock,
-                        new SplittableRandom()));
-    }
-
-    private KeyedFollower endpointFollower(PlatformAdapter adapter) {
-        return follower(
-                adapter,
-                adapter.endpointStream(),
-                new KeyedFollower.Pacing(Duration.ZERO, endpointReadInterval()),
-                new RosterListener(knowledge.roster(), adapter::endpoint, clock, trace));
-    }
-
-    private KeyedFollower faultFollower(PlatformAdapter adapter, FaultStreamListener listener) {
-        return follower(
-                adapter,
-                FaultReport.STREAM,
-                new KeyedFollower.Pacing(FAULT_READ_WAIT, FAULT_READ_PAUSE),
-                listener);
-    }
-
-    private KeyedFollower follower(
-            PlatformAdapter adapter,
-            String stream,
-            KeyedFollower.Pacing pacing,
-            KeyedFollower.Listener listener) {
-        return new KeyedFollower(
-                adapter.log(),
-                stream,
-                pacing,
-                clock,
-                new Backoff(new SplittableRandom(), MAX_READ_BACKOFF),
-                listener);
-    }
-
-    private Duration endpointReadInterval() {
-        return max(platform.leaveNotice().dividedBy(2), MIN_READ_INTERVAL);
-    }
-
     private void storeRestored() {
         trace.record(new TraceEvent.Dependency("store", "restored", "returned from a copy"));
-        followers().forEach(KeyedFollower::restart);
-    }
-
-    private List<KeyedFollower> followers() {
-        return List.of(config, endpoints, faults);
+        reading.restart();
     }
 
     private RetryBudget retries(RelayNodeSettings settings) {
@@ -308,6 +234,7 @@
             share = assignment.share();
             trace.record(new TraceEvent.ShareDealt(share, assignment.nodes()));
         }
+        reading.nodes(assignment.nodes());
         retries.share(share);
         load.nodesPerZone(nodesInZone(assignment.nodes()));
         pipes.nodes(assignment.nodes());
@@ -335,12 +262,9 @@
                     listen(callers, platform.front());
                     listen(servers.forOperation(this::readiness), platform.readiness());
                     listen(servers.forOperation(this::metrics), platform.metrics());
-                    config.start();
-                    endpoints.start();
-                    faults.start();
+                    reading.start();
                     layers.start();
                     limitSocket.listen(platform.peers(), limits::receive);
-                    issuers.start();
                     relay.start();
                 });
     }
@@ -414,7 +338,7 @@
 
     /** Stops reading from the platform's log, then flushes and closes the node's own log. */
     public void close() {
-        vertx.runOnContext(v -> followers().forEach(KeyedFollower::stop));
+        vertx.runOnContext(v -> reading.stop());
         trace.close();
     }
 }
--- a/src/main/java/hyssopturn/platform/HeartbeatDecoder.java
+++ b/src/main/java/hyssopturn/platform/HeartbeatDecoder.java
@@ -74,6 +74,40 @@
         return repeated.orElseGet(() -> parse(id, value, bytes));
     }
 
+    /**
+     * Returns whether an announcement differs from an earlier one only in a greater sequence
+     * number.
+     *
+     * @param earlier the earlier announcement
+     * @param later the announcement
+     * @return true if it says nothing else
+     */
+    static boolean repeats(Bytes earlier, Bytes later) {
+        byte[] a = earlier.toArray();
+        byte[] b = later.toArray();
+        int field = indexOf(a, 0);
+        if (field < 0 || indexOf(a, field + 1) >= 0) {
+            return false;
+        }
+        int start = field + SEQUENCE.length;
+        int endA = endOfDigits(a, start);
+        int endB = b.length - (a.length - endA);
+        return endB > start
+                && Arrays.equals(a, 0, start, b, 0, start)
+                && Arrays.equals(a, endA, a.length, b, endB, b.length)
+                && number(a, start, endA)
+                        .flatMap(n -> number(b, start, endB).filter(m -> m > n))
+                        .isPresent();
+    }
+
+    private static int endOfDigits(byte[] bytes, int start) {
+        int end = start;
+        while (end < bytes.length && isDigit(bytes[end])) {
+            end++;
+        }
+        return end;
+    }
+
     private Endpoint parse(String id, Bytes value, byte[] bytes) {
         known.remove(id);
         Endpoint endpoint = EndpointDecoder.decode(id, value);
@@ -91,10 +125,7 @@
             return;
         }
         int start = field + SEQUENCE.length;
-        int end = start;
-        while (end < bytes.length && isDigit(bytes[end])) {
-            end++;
-        }
+        int end = endOfDigits(bytes, start);
         boolean whole = end < bytes.length && (bytes[end] == ',' || bytes[end] == '}');
         if (whole && number(bytes, start, end).equals(Optional.of(endpoint.heartbeat()))) {
             known.put(id, new Known(bytes, start, end, endpoint));
--- a/src/main/java/hyssopturn/platform/PlatformAdapter.java
+++ b/src/main/java/hyssopturn/platform/PlatformAdapter.java
@@ -3,6 +3,7 @@
 import hyssopturn.catalog.Catalog;
 import hyssopturn.catalog.CatalogReading;
 import hyssopturn.fleet.Endpoint;
+import hyssopturn.model.Bytes;
 import hyssopturn.port.Clock;
 import hyssopturn.port.Duties;
 import hyssopturn.port.EngineControl;
@@ -139,6 +140,17 @@
         }
     }
 
+    /**
+     * Returns whether an endpoint's announcement only repeats an earlier one.
+     *
+     * @param earlier value of the record of the earlier announcement
+     * @param later value of the record of the announcement
+     * @return true if it differs in nothing but a greater sequence number
+     */
+    public static boolean repeats(Bytes earlier, Bytes later) {
+        return HeartbeatDecoder.repeats(earlier, later);
+    }
+
     /**
      * Decodes an endpoint's announcement.
      *
--- a/src/test/java/hyssopturn/ArchitectureTest.java
+++ b/src/test/java/hyssopturn/ArchitectureTest.java
@@ -26,7 +26,8 @@
         "hyssopturn.fleet..",
         "hyssopturn.limit..",
         "hyssopturn.load..",
-        "hyssopturn.quarantine.."
+        "hyssopturn.quarantine..",
+        "hyssopturn.share.."
     };
 
     @ArchTest
