--- a/src/main/java/hyssopturn/log/KeyedFollower.java
+++ b/src/main/java/hyssopturn/log/KeyedFollower.java
@@ -156,11 +156,11 @@
      * @param page the records and the offset after them
      * @param from offset from which the page is complete
      * @param asOfNanos time as of which the page is all that the stream holds
-     * @return false if this node knows more already, or records are missing in between
+     * @return false if this node knows more records, or some are missing in between
      */
     public boolean receive(KeyedLog.Page page, long from, long asOfNanos) {
         boolean fits = next >= 0 && from <= next && page.next() >= next;
-        if (stopped || !fits || asOfNanos - readNanos <= 0) {
+        if (stopped || !fits) {
             return false;
         }
         suspended = true;
@@ -174,8 +174,8 @@
                         page.entries().stream().filter(e -> e.offset() >= known).toList(),
                         page.next());
         next = page.next();
-        readNanos = asOfNanos;
-        tell(() -> listener.records(news, asOfNanos));
+        readNanos = asOfNanos - readNanos > 0 ? asOfNanos : readNanos;
+        tell(() -> listener.records(news, readNanos));
         return true;
     }
 
--- a/src/main/java/hyssopturn/node/StoreReading.java
+++ b/src/main/java/hyssopturn/node/StoreReading.java
@@ -10,6 +10,7 @@
 import hyssopturn.platform.PlatformSettings;
 import hyssopturn.port.Clock;
 import hyssopturn.relay.RoutingState;
+import hyssopturn.share.ReadPlan;
 import hyssopturn.share.SharedFollower;
 import hyssopturn.share.SharedStream;
 import hyssopturn.share.StoreSharing;
@@ -35,38 +36,15 @@
     /** Maximum backoff, before jitter, between attempts to read a stream. */
     private static final Duration MAX_READ_BACKOFF = Duration.ofMillis(300);
 
-    /** Long-poll wait for fault reports, and so how long a dead connection may hide them. */
-    private static final Duration FAULT_READ_WAIT = Duration.ofSeconds(15);
-
-    /** Pause between reads of fault reports, since several nodes usually report the same fault. */
-    private static final Duration FAULT_READ_PAUSE = Duration.ofMillis(100);
-
     /** Time to detect that a read was lost and to retry it. */
     private static final Duration LOST_READ_MARGIN = Duration.ofSeconds(1);
 
     /** Minimum interval between reads of a stream, however short the platform's bounds are. */
     private static final Duration MIN_READ_INTERVAL = Duration.ofMillis(250);
 
-    /** Maximum time between questions to a node that reads the store. */
-    private static final Duration MAX_QUESTION_INTERVAL = Duration.ofMillis(400);
-
-    /**
-     * Number of questions in the interval at which a node reads endpoints itself. Two intervals
-     * between a hub's reads, a lost question and its repetition take four of five.
-     */
-    private static final int QUESTIONS_PER_READ = 5;
-
-    private static final int HUB_READ_QUESTIONS = 2;
-
-    /** Part of a long poll after which a hub's one ends, as a divisor. */
-    private static final int HUB_WAIT_DIVISOR = 2;
-
-    /** Same for fault reports; the age of an answer that holds one counts from the question. */
-    private static final int HUB_FAULT_WAIT_DIVISOR = 3;
-
     private static final double NANOS_PER_SECOND = 1e9;
 
-    private final PlatformSettings platform;
+    private final ReadPlan plan;
     private final PlatformAdapter adapter;
     private final RoutingState knowledge;
     private final Clock clock;
@@ -85,18 +63,29 @@
             Clock clock,
             TraceLog trace,
             MeterRegistry meters) {
-        this.platform = platform;
+        plan =
+                new ReadPlan(
+                        max(platform.leaveNotice().dividedBy(2), MIN_READ_INTERVAL),
+                        max(platform.catchUpLimit().minus(LOST_READ_MARGIN), MIN_READ_INTERVAL));
         this.adapter = adapter;
         this.knowledge = knowledge;
         this.clock = clock;
         this.trace = trace;
-        followers = List.of(config(), endpoints(), faults(faults));
+        followers =
+                List.of(
+                        config(),
+                        endpoints(),
+                        follower(
+                                SharedStream.FAULTS,
+                                FaultReport.STREAM,
+                                Optional.empty(),
+                                faults));
         issuers = new IssuerReader(adapter.duties(), limits, clock);
         ShareSocket socket = new ShareSocket(vertx, platform.peers());
         sharing =
                 new StoreSharing(
                         platform.peers(),
-                        questionInterval(),
+                        plan.questionInterval(),
                         followers,
                         issuers,
                         this::suspectedEndpoints,
@@ -134,26 +123,13 @@
 
     /** Returns the interval at which a node reads the announcements of endpoints itself. */
     Duration endpointInterval() {
-        return max(platform.leaveNotice().dividedBy(2), MIN_READ_INTERVAL);
-    }
-
-    private Duration configWait() {
-        return max(platform.catchUpLimit().minus(LOST_READ_MARGIN), MIN_READ_INTERVAL);
-    }
-
-    private Duration questionInterval() {
-        Duration shortest = min(endpointInterval(), configWait()).dividedBy(QUESTIONS_PER_READ);
-        return min(shortest, MAX_QUESTION_INTERVAL);
+        return plan.endpointInterval();
     }
 
     private static Duration max(Duration a, Duration b) {
         return a.compareTo(b) > 0 ? a : b;
     }
 
-    private static Duration min(Duration a, Duration b) {
-        return a.compareTo(b) < 0 ? a : b;
-    }
-
     private Collection<String> suspectedEndpoints() {
         return knowledge.roster().suspected(clock.nanos()).stream()
                 .map(e -> e.id().value())
@@ -161,14 +137,9 @@
     }
 
     private SharedFollower config() {
-        Duration wait = configWait();
         return follower(
                 SharedStream.CONFIGURATION,
                 adapter.configStream(),
-                new SharedFollower.Timing(
-                        new KeyedFollower.Pacing(wait, Duration.ZERO),
-                        new KeyedFollower.Pacing(wait.dividedBy(HUB_WAIT_DIVISOR), Duration.ZERO),
-                        wait),
                 Optional.empty(),
                 new ConfigKeeper(
                         adapter.log(),
@@ -179,43 +150,23 @@
     }
 
     private SharedFollower endpoints() {
-        Duration hubPause =
-                endpointInterval().multipliedBy(HUB_READ_QUESTIONS).dividedBy(QUESTIONS_PER_READ);
         return follower(
                 SharedStream.ENDPOINTS,
                 adapter.endpointStream(),
-                new SharedFollower.Timing(
-                        new KeyedFollower.Pacing(Duration.ZERO, endpointInterval()),
-                        new KeyedFollower.Pacing(Duration.ZERO, hubPause),
-                        endpointInterval()),
                 Optional.of(PlatformAdapter::repeats),
                 new RosterListener(knowledge.roster(), adapter::endpoint, clock, trace));
     }
 
-    private SharedFollower faults(FaultStreamListener listener) {
-        Duration hubWait = FAULT_READ_WAIT.dividedBy(HUB_FAULT_WAIT_DIVISOR);
-        return follower(
-                SharedStream.FAULTS,
-                FaultReport.STREAM,
-                new SharedFollower.Timing(
-                        new KeyedFollower.Pacing(FAULT_READ_WAIT, FAULT_READ_PAUSE),
-                        new KeyedFollower.Pacing(hubWait, FAULT_READ_PAUSE),
-                        FAULT_READ_WAIT),
-                Optional.empty(),
-                listener);
-    }
-
     private SharedFollower follower(
             SharedStream stream,
             String name,
-            SharedFollower.Timing timing,
             Optional<BiPredicate<Bytes, Bytes>> repeats,
             KeyedFollower.Listener listener) {
         return new SharedFollower(
                 stream,
                 adapter.log(),
                 name,
-                timing,
+                plan.timing(stream),
                 clock,
                 new Backoff(new SplittableRandom(), MAX_READ_BACKOFF),
                 repeats,
--- a/src/main/java/hyssopturn/share/SharedFollower.java
+++ b/src/main/java/hyssopturn/share/SharedFollower.java
@@ -175,7 +175,7 @@
         long before = follower.readNanos();
         if (known() && recent && settled && follower.receive(page, from, asOfNanos)) {
             Duration interval = timing.own().readWait().plus(timing.own().pause());
-            savedReads += (double) (asOfNanos - before) / interval.toNanos();
+            savedReads += (double) (follower.readNanos() - before) / interval.toNanos();
         }
     }
 }
