--- a/src/main/java/hyssopturn/node/StoreReading.java
+++ b/src/main/java/hyssopturn/node/StoreReading.java
@@ -76,10 +76,7 @@
                         config(),
                         endpoints(),
                         follower(
-                                SharedStream.FAULTS,
-                                FaultReport.STREAM,
-                                Optional.empty(),
-                                faults));
+                                SharedStream.FAULTS, FaultReport.STREAM, Optional.empty(), faults));
         issuers = new IssuerReader(adapter.duties(), limits, clock);
         ShareSocket socket = new ShareSocket(vertx, platform.peers());
         sharing =
--- a/src/main/java/hyssopturn/peer/ShareSocket.java
+++ b/src/main/java/hyssopturn/peer/ShareSocket.java
@@ -62,8 +62,7 @@
     /** No content of a message may stop the event loop, so every error is caught. */
     private void handle(DatagramPacket packet) {
         try {
-            Address sender =
-                    new Address(packet.sender().hostAddress(), packet.sender().port() - 1);
+            Address sender = new Address(packet.sender().hostAddress(), packet.sender().port() - 1);
             receiver.accept(sender, ShareCodec.decode(packet.data().getBytes()));
         } catch (RuntimeException e) {
             logger.atWarning().atMostEvery(WARN_SECONDS, TimeUnit.SECONDS).log(
--- a/src/main/java/hyssopturn/share/Hub.java
+++ b/src/main/java/hyssopturn/share/Hub.java
@@ -21,9 +21,7 @@
 import java.util.OptionalLong;
 import java.util.function.Supplier;
 
-/**
- * Answers questions of other nodes, and tells them news before they ask again. Not thread-safe.
- */
+/** Answers questions of other nodes, and tells them news before they ask again. Not thread-safe. */
 final class Hub {
     /** Time without a question after which a node no longer counts as a reader. */
     static final Duration READER_TIMEOUT = Duration.ofSeconds(3);
@@ -126,8 +124,7 @@
         }
         SharedFollower follower = found.get();
         Optional<List<KeyedLog.Entry>> missing = follower.ring().since(position.next(), watched);
-        missing.ifPresent(
-                m -> m.forEach(e -> news.add(new StreamRecord(position.stream(), e))));
+        missing.ifPresent(m -> m.forEach(e -> news.add(new StreamRecord(position.stream(), e))));
         if (missing.isEmpty() || size(news) > room) {
             news.clear();
             return state(position, Status.NOT_KEPT, position.next(), Duration.ZERO);
--- a/src/main/java/hyssopturn/share/HubChoice.java
+++ b/src/main/java/hyssopturn/share/HubChoice.java
@@ -54,8 +54,7 @@
      * @param estimate estimated number of nodes, which counts while no holder is known
      */
     void update(Map<Integer, Address> holders, double estimate) {
-        List<Address> ordered =
-                List.copyOf(new LinkedHashSet<>(new TreeMap<>(holders).values()));
+        List<Address> ordered = List.copyOf(new LinkedHashSet<>(new TreeMap<>(holders).values()));
         nodes = ordered.isEmpty() ? (int) estimate : ordered.size();
         int count = Math.max(MIN_HUBS, Math.ceilDiv(nodes - NODES_PER_HUB / 2, NODES_PER_HUB));
         hubs = ordered.subList(0, Math.min(count, ordered.size()));
--- a/src/main/java/hyssopturn/share/ReadPlan.java
+++ b/src/main/java/hyssopturn/share/ReadPlan.java
@@ -7,9 +7,9 @@
 /**
  * When the streams are read, by a node for itself and by a hub.
  *
- * <p>A hub reads endpoints in two of five parts of the interval of a node's own reads; a question, a
- * lost one and its repetition take two more. So a node whose hub answers knows a change within the
- * interval, as if it read the stream itself.
+ * <p>A hub reads endpoints in two of five parts of the interval of a node's own reads; a question,
+ * a lost one and its repetition take two more. So a node whose hub answers knows a change within
+ * the interval, as if it read the stream itself.
  *
  * @param endpointInterval time between a node's own reads of endpoints
  * @param configWait time for which a node's own read waits for a configuration
@@ -58,7 +58,8 @@
             case CONFIGURATION ->
                     timing(configWait, configWait.dividedBy(CONFIG_WAIT_DIVISOR), Duration.ZERO);
             case ENDPOINTS -> endpoints();
-            case FAULTS -> timing(FAULT_WAIT, FAULT_WAIT.dividedBy(FAULT_WAIT_DIVISOR), FAULT_PAUSE);
+            case FAULTS ->
+                    timing(FAULT_WAIT, FAULT_WAIT.dividedBy(FAULT_WAIT_DIVISOR), FAULT_PAUSE);
         };
     }
 
--- a/src/main/java/hyssopturn/share/StoreSharing.java
+++ b/src/main/java/hyssopturn/share/StoreSharing.java
@@ -139,7 +139,9 @@
         }
     }
 
-    /** Nodes that hold no partition are not known, but there are none unless each holder has one. */
+    /**
+     * Nodes that hold no partition are not known, but there are none unless each holder has one.
+     */
     private boolean accepts(Address sender) {
         Map<Integer, Address> known = holders.holders();
         return !sender.equals(self)
--- a/src/main/java/hyssopturn/share/StreamRing.java
+++ b/src/main/java/hyssopturn/share/StreamRing.java
@@ -216,9 +216,7 @@
         long now = clock.nanos();
         Latest before = latest.get(entry.key());
         boolean repeat = before != null && repeats(before.entry(), entry);
-        if (repeat
-                && now - before.keptUntilNanos() >= 0
-                && now - before.silentUntilNanos() < 0) {
+        if (repeat && now - before.keptUntilNanos() >= 0 && now - before.silentUntilNanos() < 0) {
             latest.put(
                     entry.key(),
                     new Latest(entry, before.keptUntilNanos(), before.silentUntilNanos(), false));
--- a/src/test/java/hyssopturn/share/SimulatedGroup.java
+++ b/src/test/java/hyssopturn/share/SimulatedGroup.java
@@ -283,8 +283,7 @@
                 long interval = shared ? INTERVAL_MILLIS / 2 : INTERVAL_MILLIS;
                 long now = clock.nanos();
                 if (now - readNanos >= interval * 1_000_000) {
-                    log.call(1, SimulatedGroup.this::holders)
-                            .thenAccept(h -> receive(h, now));
+                    log.call(1, SimulatedGroup.this::holders).thenAccept(h -> receive(h, now));
                 }
             }
 
--- a/src/test/java/hyssopturn/share/SimulatedStore.java
+++ b/src/test/java/hyssopturn/share/SimulatedStore.java
@@ -134,8 +134,7 @@
             return result;
         }
 
-        private void poll(
-                String name, long from, long untilNanos, CompletableFuture<Page> result) {
+        private void poll(String name, long from, long untilNanos, CompletableFuture<Page> result) {
             if (stream(name).size() > from || clock.nanos() >= untilNanos || down) {
                 reply(result, () -> page(name, from));
                 return;
--- a/src/test/java/hyssopturn/share/StoreSharingTest.java
+++ b/src/test/java/hyssopturn/share/StoreSharingTest.java
@@ -41,8 +41,7 @@
 
     private long millisUntilLeavingKnown(SimulatedGroup of) {
         of.announce("e1", "draining", 1);
-        return of.millisUntil(
-                () -> of.allRunning(n -> n.endpoints.get("e1").contains("draining")));
+        return of.millisUntil(() -> of.allRunning(n -> n.endpoints.get("e1").contains("draining")));
     }
 
     private long millisUntilLeavingKnown() {
@@ -180,8 +179,7 @@
             hub().kill();
             assertThat(millisUntilLeavingKnown(), lessThanOrEqualTo(LEAVE_MILLIS));
             group.clock.advance(Duration.ofSeconds(15));
-            assertThat(
-                    group.callsPerNode(MINUTE), lessThan(callsWithoutSharing(NODES) / 3));
+            assertThat(group.callsPerNode(MINUTE), lessThan(callsWithoutSharing(NODES) / 3));
         }
 
         @Test
@@ -241,8 +239,7 @@
             group.store.down = true;
             group.clock.advance(Duration.ofSeconds(5));
             long now = group.clock.nanos();
-            assertThat(
-                    group.allRunning(n -> now - n.confirmedNanos >= 4_900_000_000L), is(true));
+            assertThat(group.allRunning(n -> now - n.confirmedNanos >= 4_900_000_000L), is(true));
             group.store.down = false;
             group.store.append("config", "c", "version 2");
             long millis =
@@ -258,7 +255,8 @@
             group.clock.advance(Duration.ofSeconds(5));
             int before = reader().listings;
             group.store.restore("engines", 3 * SimulatedGroup.ENGINES);
-            long millis = group.millisUntil(() -> group.allRunning(n -> n.log.era().orElse(0) == 2));
+            long millis =
+                    group.millisUntil(() -> group.allRunning(n -> n.log.era().orElse(0) == 2));
             assertThat(millis, lessThanOrEqualTo(1_100L));
             group.clock.advance(Duration.ofSeconds(1));
             assertThat(reader().listings - before, equalTo(SharedStream.values().length));
