Requests leave their zone by one decision that follows what other zones have left

Cause: fixed rules sent requests to other zones once the own zone's memory seemed full, without knowledge of what the other zones' clients want. Change: ZoneBalance divides the demand beyond a zone's capacity among the zones with room, ZoneFlows follows it in bounded steps, and ZoneChoice weighs first event, delay and bytes of whole requests and of chains over several zones. Where nothing is known of other zones the search is as before.

--- a/src/main/java/hyssopturn/chain/ChainSearch.java
+++ b/src/main/java/hyssopturn/chain/ChainSearch.java
@@ -27,8 +27,9 @@
  * dominates its cost; among engines with equal use the fast ones are preferred. An engine may run a
  * part of the layers that it holds, so a chain may change engines at any boundary of a held range.
  * Crossing between zones costs the transfer of the prompt's activations over the link that all
- * crossing requests share, and that link cannot carry the prompts of a whole zone. The search
- * therefore tries the node's own zone first. If that zone lacks a layer or is full, the search
+ * crossing requests share, and that link cannot carry the prompts of a whole zone. If the load of
+ * other zones' clients is known, {@link ZoneChoice} says which zones to try. Otherwise the search
+ * tries the node's own zone first. If that zone lacks a layer or is full, the search
  * tries another zone, chosen at random by the memory that it has beside its own callers, who are
  * assumed to be as many as those of the node's zone. Chains over several zones are the last resort.
  * The search copes with zones that lose engines and with any number of nodes that choose without
@@ -61,9 +62,10 @@
     private final EngineLoad load;
     private final RandomGenerator random;
     private final long nowNanos;
+    private final Optional<ZoneChoice> choice;
 
     /**
-     * Creates a search.
+     * Creates a search that knows nothing of other zones' clients.
      *
      * @param spec sizes and speeds of the engines
      * @param load load of the engines by this node's requests
@@ -71,10 +73,29 @@
      * @param nowNanos time now
      */
     public ChainSearch(EngineSpec spec, EngineLoad load, RandomGenerator random, long nowNanos) {
+        this(spec, load, random, nowNanos, Optional.empty());
+    }
+
+    /**
+     * Creates a search.
+     *
+     * @param spec sizes and speeds of the engines
+     * @param load load of the engines by this node's requests
+     * @param random source of the random choice among other zones
+     * @param nowNanos time now
+     * @param choice choice of the zones, empty if nothing is known of other zones' clients
+     */
+    public ChainSearch(
+            EngineSpec spec,
+            EngineLoad load,
+            RandomGenerator random,
+            long nowNanos,
+            Optional<ZoneChoice> choice) {
         this.spec = spec;
         this.load = load;
         this.random = random;
         this.nowNanos = nowNanos;
+        this.choice = choice;
     }
 
     /**
@@ -132,6 +153,10 @@
         Goal goal = new Goal(zone, spec.layers(), size, mayBeFirst);
         Label start = new Label(0, null, 0, 0, null);
         List<Candidate> own = zones.getOrDefault(zone, List.of());
+        if (choice.isPresent()) {
+            return searchInOrder(choice.get(), candidates, zones, start, goal)
+                    .map(end -> new EngineChain(hops(end)));
+        }
         return searchUnlessFull(own, start, goal)
                 .or(() -> searchOtherZones(zones, start, goal))
                 .or(() -> search(withinNodeLimit(own, size), start, goal))
@@ -139,6 +164,51 @@
                 .map(end -> new EngineChain(hops(end)));
     }
 
+    /**
+     * Searches in the order of the choice. Zones of whose clients nothing is known follow, if they
+     * seem to have spare memory, and chains over several zones come last.
+     */
+    private Optional<Label> searchInOrder(
+            ZoneChoice chosen,
+            List<Candidate> candidates,
+            Map<String, List<Candidate>> zones,
+            Label start,
+            Goal goal) {
+        Map<String, List<Candidate>> unknown = new HashMap<>(zones);
+        for (ZoneChoice.Way way : chosen.order(random.nextDouble())) {
+            Optional<Label> found =
+                    switch (way.reach()) {
+                        case ZoneChoice.Reach.Zone reached ->
+                                searchZone(unknown.remove(reached.name()), reached, start, goal);
+                        case ZoneChoice.Reach.Several several ->
+                                searchOtherZones(unknown, start, goal)
+                                        .or(
+                                                () ->
+                                                        search(
+                                                                withinNodeLimit(
+                                                                        candidates, goal.size),
+                                                                start,
+                                                                goal));
+                    };
+            if (found.isPresent()) {
+                return found;
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Searches a zone; a full one only as far as this node's maximum share allows. */
+    private Optional<Label> searchZone(
+            List<Candidate> engines, ZoneChoice.Reach.Zone zone, Label start, Goal goal) {
+        if (engines == null) {
+            return Optional.empty();
+        }
+        boolean own = zone.name().equals(goal.zone);
+        Optional<Label> unlessFull =
+                own ? searchUnlessFull(engines, start, goal) : Optional.empty();
+        return unlessFull.or(() -> search(withinNodeLimit(engines, goal.size), start, goal));
+    }
+
     /**
      * Searches the other zones in a random order, weighted by the memory that each has beside its
      * own callers, who are assumed to be as many as those of this node's zone. If all nodes chose
--- a/src/main/java/hyssopturn/chain/InterZoneBudget.java
+++ b/src/main/java/hyssopturn/chain/InterZoneBudget.java
@@ -34,6 +34,7 @@
     private static final double BITS_PER_MEGABIT = 1_000_000;
 
     private final Map<ZoneLink, Bucket> buckets = new HashMap<>();
+    private final ZoneFlows flows = new ZoneFlows();
     private double nodes;
 
     /**
@@ -115,6 +116,15 @@
         return share * BURST.toMillis();
     }
 
+    /**
+     * Returns the parts of the requests that are sent whole to other zones.
+     *
+     * @return the parts, by service
+     */
+    public ZoneFlows flows() {
+        return flows;
+    }
+
     /**
      * Computes how long a prompt's activations occupy a link.
      *
@@ -123,7 +133,18 @@
      * @return the time, in milliseconds
      */
     static double transferMillis(long promptTokens, EngineSpec spec) {
-        double bits = promptTokens * spec.activationBytes() * BITS_PER_BYTE;
+        return linkMillis(promptTokens * spec.activationBytes(), spec);
+    }
+
+    /**
+     * Computes how long bytes occupy a link.
+     *
+     * @param bytes number of bytes
+     * @param spec sizes and speeds
+     * @return the time, in milliseconds
+     */
+    static double linkMillis(double bytes, EngineSpec spec) {
+        double bits = bytes * BITS_PER_BYTE;
         return bits / (spec.interZoneMbps() * BITS_PER_MEGABIT) * MILLIS;
     }
 }
--- a/src/main/java/hyssopturn/relay/ChainFinder.java
+++ b/src/main/java/hyssopturn/relay/ChainFinder.java
@@ -1,15 +1,19 @@
 package hyssopturn.relay;
 
 import hyssopturn.catalog.EngineSpec;
+import hyssopturn.catalog.Route;
 import hyssopturn.chain.ChainSearch;
 import hyssopturn.chain.EngineChain;
 import hyssopturn.chain.Hop;
 import hyssopturn.chain.InterZoneBudget;
+import hyssopturn.chain.ZoneChoice;
 import hyssopturn.chain.ZoneLink;
+import hyssopturn.chain.ZoneStates;
 import hyssopturn.fleet.Endpoint;
 import hyssopturn.fleet.Roster;
 import hyssopturn.model.InstanceId;
 import hyssopturn.port.EngineControl;
+import hyssopturn.trace.TraceEvent;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -20,16 +24,21 @@
 
 /** Finds chains for one request among the engines that are currently known. */
 final class ChainFinder {
+    private static final String OWN_ZONE = "own zone";
+
     private final RelayContext context;
     private final String service;
     private final EngineSpec spec;
     private final ChainSearch.Size size;
+    private final ZoneChoice.Request request;
 
-    ChainFinder(RelayContext context, String service, EngineSpec spec, CallHeaders headers) {
+    ChainFinder(RelayContext context, Admitted admitted, EngineSpec spec) {
         this.context = context;
-        this.service = service;
+        service = admitted.service();
         this.spec = spec;
-        size = size(headers, spec);
+        size = size(admitted.headers(), spec);
+        Route route = admitted.route();
+        request = new ZoneChoice.Request(size, route.target(), route.priority());
     }
 
     /**
@@ -136,7 +145,37 @@
     }
 
     private ChainSearch newSearch(long now) {
-        return new ChainSearch(spec, context.load(), context.random(), now);
+        return new ChainSearch(spec, context.load(), context.random(), now, zoneChoice(now));
+    }
+
+    private Optional<ZoneChoice> zoneChoice(long now) {
+        String zone = context.settings().zone();
+        return context.zoneLinks()
+                .flows()
+                .plan(
+                        service,
+                        zone,
+                        () -> new ZoneStates(spec).known(service, zone, usable(), context.loads()),
+                        now,
+                        this::recordFlow)
+                .map(plan -> new ZoneChoice(spec, plan, request));
+    }
+
+    private void recordFlow(String of, String zone, double part) {
+        context.trace()
+                .record(new TraceEvent.ZoneFlowChanged(of, context.settings().zone(), zone, part));
+    }
+
+    /** Counts an attempt on a chain that is not, or not only, in this node's zone. */
+    void countCrossing(EngineChain chain) {
+        String own = context.settings().zone();
+        String reach = chain.reach(own);
+        if (reach.equals(OWN_ZONE)) {
+            return;
+        }
+        double bytes = ZoneChoice.bytes(size, chain.crossings(), spec);
+        context.meters().counter("hyssopturn.zone.requests", "reach", reach).increment();
+        context.meters().counter("hyssopturn.zone.bytes", "reach", reach).increment(bytes);
     }
 
     /**
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -62,7 +62,7 @@
             StallDetector stallDetector) {
         super(context, request, admitted, stallDetector.checks());
         this.stallDetector = stallDetector;
-        chainFinder = new ChainFinder(context, admitted.service(), spec, admitted.headers());
+        chainFinder = new ChainFinder(context, admitted, spec);
         attempts = new StreamAttempts(admitted.headers().resumeAfter());
         moves = new ChainMoves(context, this, chainFinder);
         resumption = new Resumption(context, this, stallDetector.retryQueue());
@@ -166,6 +166,7 @@
 
     /** Sends the request to a chain, beside the attempt that holds the stream if there is one. */
     private void startOn(EngineChain found) {
+        chainFinder.countCrossing(found);
         StreamAttempts.Begin begin = attempts.begin();
         begin.cancelled().ifPresent(this::cancelAttempt);
         StreamAttempt attempt =
--- a/src/main/java/hyssopturn/trace/TraceEvent.java
+++ b/src/main/java/hyssopturn/trace/TraceEvent.java
@@ -288,6 +288,17 @@
     record Rerouted(String request, String chain, String cause, boolean done)
             implements TraceEvent {}
 
+    /**
+     * The part of a zone's requests that goes to another zone changed notably.
+     *
+     * @param service name of the service
+     * @param from zone of the clients
+     * @param to zone of the engines
+     * @param part the part, from 0 to 1
+     */
+    record ZoneFlowChanged(String service, String from, String to, double part)
+            implements TraceEvent {}
+
     /**
      * A library or a helper class logged something.
      *
