--- a/src/main/java/hyssopturn/chain/ChainSearch.java
+++ b/src/main/java/hyssopturn/chain/ChainSearch.java
@@ -29,11 +29,10 @@
  * Crossing between zones costs the transfer of the prompt's activations over the link that all
  * crossing requests share, and that link cannot carry the prompts of a whole zone. If the load of
  * other zones' clients is known, {@link ZoneChoice} says which zones to try. Otherwise the search
- * tries the node's own zone first. If that zone lacks a layer or is full, the search
- * tries another zone, chosen at random by the memory that it has beside its own callers, who are
- * assumed to be as many as those of the node's zone. Chains over several zones are the last resort.
- * The search copes with zones that lose engines and with any number of nodes that choose without
- * coordination.
+ * tries the node's own zone first. If that zone lacks a layer or is full, the search tries another
+ * zone, chosen at random by the memory that it has beside its own callers, who are assumed to be as
+ * many as those of the node's zone. Chains over several zones are the last resort. The search copes
+ * with zones that lose engines and with any number of nodes that choose without coordination.
  */
 public final class ChainSearch {
     /**
--- a/src/main/java/hyssopturn/chain/ZoneChoice.java
+++ b/src/main/java/hyssopturn/chain/ZoneChoice.java
@@ -164,8 +164,7 @@
         }
         double prompt = request.size.promptTokens() * spec.activationBytes();
         double bytes = bytes(request.size, 1, spec);
-        double first =
-                least + 2 * ZONE_DELAY_MILLIS + LINK_QUEUE_TRANSFERS * linkMillis(prompt);
+        double first = least + 2 * ZONE_DELAY_MILLIS + LINK_QUEUE_TRANSFERS * linkMillis(prompt);
         double token = 2 * ZONE_DELAY_MILLIS + linkMillis(spec.activationBytes());
         boolean room = plan.others().stream().anyMatch(n -> ZoneBalance.room(n.state()) > 0);
         return way(new Reach.Several(), first, token, bytes, room);
--- a/src/main/java/hyssopturn/chain/ZoneFlows.java
+++ b/src/main/java/hyssopturn/chain/ZoneFlows.java
@@ -91,8 +91,7 @@
         }
 
         boolean reportDue(long nowNanos) {
-            boolean notable =
-                    Math.abs(part - reported) >= NOTABLE || (part == 0 && reported != 0);
+            boolean notable = Math.abs(part - reported) >= NOTABLE || (part == 0 && reported != 0);
             return notable
                     && (reportedNanos == 0
                             || nowNanos - reportedNanos >= REPORT_INTERVAL.toNanos());
@@ -133,6 +132,20 @@
         return Optional.ofNullable(services.get(service)).flatMap(s -> s.plan);
     }
 
+    /**
+     * Returns the part of the requests that is sent to a zone.
+     *
+     * @param service name of the service
+     * @param zone the zone
+     * @return the part, from 0 to 1
+     */
+    public double part(String service, String zone) {
+        return inForce(service)
+                .flatMap(plan -> plan.other(zone))
+                .map(ZonePlan.Neighbour::part)
+                .orElse(0.0);
+    }
+
     private static void update(
             ServiceFlows known, String own, List<ZoneState> states, long nowNanos) {
         long steps = known.steps(nowNanos);
@@ -147,8 +160,7 @@
         }
         Map<String, Double> wanted = ZoneBalance.parts(own, states);
         wanted.keySet().forEach(zone -> known.flows.computeIfAbsent(zone, z -> new Flow()));
-        known.flows.forEach(
-                (zone, flow) -> flow.approach(wanted.getOrDefault(zone, 0.0), steps));
+        known.flows.forEach((zone, flow) -> flow.approach(wanted.getOrDefault(zone, 0.0), steps));
         List<ZonePlan.Neighbour> neighbours = new ArrayList<>();
         for (ZoneState state : states) {
             if (!state.zone().equals(own)) {
--- a/src/main/java/hyssopturn/relay/ChainFinder.java
+++ b/src/main/java/hyssopturn/relay/ChainFinder.java
@@ -15,6 +15,8 @@
 import hyssopturn.port.EngineControl;
 import hyssopturn.trace.TraceEvent;
 
+import io.micrometer.core.instrument.Gauge;
+
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -162,6 +164,12 @@
     }
 
     private void recordFlow(String of, String zone, double part) {
+        Gauge.builder(
+                        "hyssopturn.zone.part",
+                        context.zoneLinks().flows(),
+                        flows -> flows.part(of, zone))
+                .tags("service", of, "zone", zone)
+                .register(context.meters());
         context.trace()
                 .record(new TraceEvent.ZoneFlowChanged(of, context.settings().zone(), zone, part));
     }
--- a/src/test/java/hyssopturn/chain/ChainSearchTest.java
+++ b/src/test/java/hyssopturn/chain/ChainSearchTest.java
@@ -13,6 +13,7 @@
 import static org.hamcrest.Matchers.is;
 
 import hyssopturn.fleet.Endpoint;
+import hyssopturn.load.PriorityLoad;
 import hyssopturn.model.InstanceId;
 
 import net.jqwik.api.ForAll;
@@ -21,6 +22,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -131,6 +133,53 @@
         assertThat(admitted, equalTo(32));
     }
 
+    /** Guards against a choice that the search does not follow. */
+    @Nested
+    class ChosenZone {
+        private final List<Endpoint> engines =
+                List.of(
+                        holding("a1", "a", ROOMY, 0, 80),
+                        holding("b1", "b", ROOMY, 0, 80),
+                        holding("c1", "c", ROOMY, 0, 80));
+
+        private ZoneState state(String zone, double demand) {
+            PriorityLoad load = new PriorityLoad(0, demand, demand, 0, 0);
+            return new ZoneState(zone, 100, 20, List.of(load), Duration.ZERO);
+        }
+
+        private String choose(double demand, double part, String... excluded) {
+            ZonePlan plan =
+                    new ZonePlan(
+                            state("a", demand),
+                            List.of(new ZonePlan.Neighbour(state("c", 50), part)));
+            ZoneChoice.Request request = new ZoneChoice.Request(SIZE, Duration.ofMillis(500), 0);
+            Set<InstanceId> without =
+                    Set.copyOf(List.of(excluded).stream().map(InstanceId::new).toList());
+            return new ChainSearch(
+                            SPEC,
+                            new EngineLoad(new SplittableRandom(1), 1),
+                            new SplittableRandom(1),
+                            0,
+                            Optional.of(new ZoneChoice(SPEC, plan, request)))
+                    .cheapest(engines, "a", SIZE, without, e -> true)
+                    .orElseThrow()
+                    .toString();
+        }
+
+        @Test
+        void isSearchedFirst() {
+            assertThat(choose(150, 1), equalTo("c1=0-80"));
+            assertThat(choose(150, 0), equalTo("a1=0-80"));
+            assertThat(choose(50, 1), equalTo("a1=0-80"));
+        }
+
+        @Test
+        void withoutEnginesIsFollowedByTheOthers() {
+            assertThat(choose(150, 1, "c1"), equalTo("a1=0-80"));
+            assertThat(choose(150, 1, "a1", "c1"), equalTo("b1=0-80"));
+        }
+    }
+
     @Nested
     class Engine {
         @Test
--- a/src/test/java/hyssopturn/chain/FlowSimulation.java
+++ b/src/test/java/hyssopturn/chain/FlowSimulation.java
@@ -94,7 +94,9 @@
         this.settings = settings;
         random = new SplittableRandom(settings.seed);
         for (int zone = 0; zone < ZONES.size(); zone++) {
-            zones.add(new Zone(zone, ZoneSimulation.engines(ZONES.get(zone), settings.engines, 0, 0)));
+            zones.add(
+                    new Zone(
+                            zone, ZoneSimulation.engines(ZONES.get(zone), settings.engines, 0, 0)));
         }
     }
 
@@ -161,9 +163,7 @@
                             return OptionalDouble.empty();
                         }
                     };
-            return new ZoneStates(settings.spec)
-                    .known(SERVICE, name(), engines, nobody)
-                    .getFirst();
+            return new ZoneStates(settings.spec).known(SERVICE, name(), engines, nobody).getFirst();
         }
 
         double staySeconds() {
@@ -305,7 +305,9 @@
                 node.plan(
                         SERVICE,
                         zone.name(),
-                        () -> new ZoneStates(settings.spec).known(SERVICE, zone.name(), engines, zone),
+                        () ->
+                                new ZoneStates(settings.spec)
+                                        .known(SERVICE, zone.name(), engines, zone),
                         (long) (now * NANOS),
                         (service, to, part) -> {});
         String reached =
--- a/src/test/java/hyssopturn/chain/ZoneFlowsTest.java
+++ b/src/test/java/hyssopturn/chain/ZoneFlowsTest.java
@@ -68,9 +68,7 @@
             double bound = SHARE_OF_BOUND * played.boundOnTime();
             assertThat(what, played.shareOnTime(), greaterThanOrEqualTo(bound));
             assertThat(
-                    what,
-                    played.bytes(),
-                    lessThanOrEqualTo(BYTES_TO_LEAST * played.leastBytes()));
+                    what, played.bytes(), lessThanOrEqualTo(BYTES_TO_LEAST * played.leastBytes()));
             assertThat(what, played.turns(), lessThanOrEqualTo(turns));
         }
 
@@ -81,9 +79,7 @@
         @ParameterizedTest
         @ValueSource(longs = {1, 2, 3})
         void oneZoneLosesHalfOfItsEngines(long seed) {
-            check(
-                    play((z, t) -> 0.75 * capacity, 10, 1, SPEC, NEVER, SECONDS, seed),
-                    STEADY_TURNS);
+            check(play((z, t) -> 0.75 * capacity, 10, 1, SPEC, NEVER, SECONDS, seed), STEADY_TURNS);
         }
 
         @ParameterizedTest
@@ -126,8 +122,7 @@
         @ParameterizedTest
         @ValueSource(longs = {1, 2})
         void aZoneIsCutOff(long seed) {
-            FlowSimulation played =
-                    play((z, t) -> oneBusy(z), NEVER, 1, SPEC, 20, SECONDS, seed);
+            FlowSimulation played = play((z, t) -> oneBusy(z), NEVER, 1, SPEC, 20, SECONDS, seed);
             check(played, STEADY_TURNS);
             // until its last load expires, half of what zone a sends goes there
             double sentUntilExpiry = 0.4 / 2 * capacity * (3 + 1);
@@ -266,8 +261,7 @@
         private final ChainSearch.Size size = new ChainSearch.Size(800, 154);
 
         private List<ZoneChoice.Way> order(EngineSpec spec, ZonePlan plan, double draw) {
-            ZoneChoice.Request request =
-                    new ZoneChoice.Request(size, Duration.ofMillis(500), 0);
+            ZoneChoice.Request request = new ZoneChoice.Request(size, Duration.ofMillis(500), 0);
             return new ZoneChoice(spec, plan, request).order(draw);
         }
 
