Admission control of new streams under overload

Cause: the relay sent every stream for which an engine seemed to have memory, so under overload most first events came after their target.

Change: package overload decides whether a new stream starts, is held or is refused, from the memory of the engines (of all nodes where it is known), from first events of recent streams, and from priorities and accounts. relay.StreamGate connects it to calls. A refusal for lack of room names when room is expected in Retry-After. Streams that began or continue an answer are only counted.

The limits in the load simulation are not asserted yet.

--- a/src/main/java/hyssopturn/admit/DecayingSum.java
+++ b/src/main/java/hyssopturn/admit/DecayingSum.java
@@ -1,16 +1,27 @@
 package hyssopturn.admit;
 
 /** Exponentially decaying sum: each amount loses half its weight per half-life. */
-final class DecayingSum {
+public final class DecayingSum {
     private final double halfLifeNanos;
     private double value;
     private long updatedNanos;
 
-    DecayingSum(long halfLifeNanos) {
+    /**
+     * Creates a sum of zero.
+     *
+     * @param halfLifeNanos time in which an amount loses half its weight, in nanoseconds
+     */
+    public DecayingSum(long halfLifeNanos) {
         this.halfLifeNanos = halfLifeNanos;
     }
 
-    void add(double amount, long nowNanos) {
+    /**
+     * Adds an amount.
+     *
+     * @param amount the amount
+     * @param nowNanos time now
+     */
+    public void add(double amount, long nowNanos) {
         value = value(nowNanos) + amount;
         updatedNanos = Math.max(updatedNanos, nowNanos);
     }
@@ -19,7 +30,13 @@
         return nowNanos - updatedNanos;
     }
 
-    double value(long nowNanos) {
+    /**
+     * Returns the sum of the decayed amounts.
+     *
+     * @param nowNanos time now
+     * @return the sum
+     */
+    public double value(long nowNanos) {
         long age = nowNanos - updatedNanos;
         return value == 0 || age <= 0
                 ? value
--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -464,13 +464,18 @@
             return Duration.ofNanos(left).plus(spread(LIMIT_RETRY_SPREAD));
         }
         if (!roster.usable(admitted.service(), now()).isEmpty()) {
-            return context.settings().retryAfter();
+            return retryAfterForRoom().orElse(context.settings().retryAfter());
         }
         return roster.firstPauseLeft(admitted.service(), now())
                 .map(left -> left.plus(spread(RETRY_SPREAD)))
                 .orElse(context.settings().retryAfter());
     }
 
+    /** Returns the time until room is expected at endpoints that are full, empty if not known. */
+    Optional<Duration> retryAfterForRoom() {
+        return Optional.empty();
+    }
+
     private Duration spread(Duration most) {
         return Duration.ofNanos((long) (most.toNanos() * context.random().nextDouble()));
     }
--- a/src/main/java/hyssopturn/relay/StallDetector.java
+++ b/src/main/java/hyssopturn/relay/StallDetector.java
@@ -42,6 +42,7 @@
     private final EndpointChecks checks;
     private final CrashWatch crashes;
     private final RetryQueue retryQueue = new RetryQueue();
+    private final StreamGate gate;
     private long nextDepartingCheckNanos;
     private int searches;
 
@@ -49,6 +50,7 @@
         this.context = context;
         this.engines = engines;
         checks = new EndpointChecks(context, this::handleUnreachable);
+        gate = new StreamGate(context);
         crashes = new CrashWatch(context, checks::check);
     }
 
@@ -64,6 +66,10 @@
         return retryQueue;
     }
 
+    StreamGate gate() {
+        return gate;
+    }
+
     CrashWatch crashes() {
         return crashes;
     }
@@ -76,8 +82,12 @@
         streams.remove(stream);
     }
 
+    private boolean idle() {
+        return streams.isEmpty() && retryQueue.isEmpty() && !gate.active();
+    }
+
     private void tick() {
-        Duration interval = streams.isEmpty() && retryQueue.isEmpty() ? IDLE_TICK : TICK;
+        Duration interval = idle() ? IDLE_TICK : TICK;
         context.clock().after(interval, this::tick);
         long now = context.clock().nanos();
         context.loopLag()
@@ -87,6 +97,7 @@
                                 context.trace()
                                         .record(new TraceEvent.LoopDelayed(late.toMillis())));
         retryQueue.tick(now);
+        gate.tick(now);
         if (context.loopLag().onTime(now)) {
             checks.checkReported();
             crashes.tick(now);
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -5,6 +5,7 @@
 import hyssopturn.chain.InterZoneBudget;
 import hyssopturn.fleet.Endpoint;
 import hyssopturn.model.InstanceId;
+import hyssopturn.overload.Ticket;
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
@@ -47,6 +48,9 @@
     private final ChainMoves moves;
     private final Resumption resumption;
     private final SilenceWait silenceWait;
+    private final EngineSpec spec;
+    private final StreamGate gate;
+    private final Ticket ticket;
     private final Set<InstanceId> avoidedFirst = new HashSet<>();
     private int possibleRuns;
     private boolean moved;
@@ -67,6 +71,9 @@
         moves = new ChainMoves(context, this, chainFinder);
         resumption = new Resumption(context, this, stallDetector.retryQueue());
         silenceWait = new SilenceWait(context, this, stallDetector.retryQueue());
+        this.spec = spec;
+        gate = stallDetector.gate();
+        ticket = StreamGate.ticket(admitted, chainFinder.tokens());
     }
 
     @Override
@@ -78,11 +85,47 @@
             resumption.start();
             return;
         }
-        if (tryStartWithCapacity().isPresent() && !silenceWait.start()) {
+        if (!gate.admit(this) || tryStartWithCapacity().isEmpty() || silenceWait.start()) {
+            return;
+        }
+        if (!gate.holdWithoutChain(this)) {
             startOrGiveUp();
         }
     }
 
+    /** Starts the first attempt of a stream that was held, if there are engines with room. */
+    void startHeld() {
+        if (!endIfQuarantined()) {
+            tryStartWithCapacity();
+        }
+    }
+
+    /** Returns whether the stream is new and was not started; others are never held. */
+    boolean needsAdmission() {
+        return !ticket.started()
+                && !ended()
+                && !mayHaveRun()
+                && admitted.headers().resumeAfter().isEmpty();
+    }
+
+    Ticket ticket() {
+        return ticket;
+    }
+
+    EngineSpec spec() {
+        return spec;
+    }
+
+    /** Returns the number of tokens that the stream may hold at an engine. */
+    long tokens() {
+        return chainFinder.tokens();
+    }
+
+    @Override
+    Optional<Duration> retryAfterForRoom() {
+        return gate.retryAfter(this);
+    }
+
     /** Starts an attempt on any chain, or ends a request that has no answer yet. */
     void startOrGiveUp() {
         tryStart().ifPresent(obstacle -> giveUp(lastFailureOr(obstacle)));
@@ -171,6 +214,7 @@
         StreamAttempt attempt =
                 new StreamAttempt(context, this, begin.id(), found, chainFinder.tokens(), pace);
         open.put(begin.id(), attempt);
+        gate.started(this);
         attempt.start(attempts.lastDelivered());
     }
 
@@ -284,6 +328,7 @@
         excluded.add(refusing);
         withdrawRefused(attempt.first());
         context.load().recordRefusal(refusing, now());
+        gate.refusedByEngine(this);
         resumption.markRefused();
         recover(attempt, "engine refused");
     }
@@ -362,6 +407,9 @@
             return;
         }
         stallDetector.recordEvents(attempt);
+        if (!response.headWritten()) {
+            gate.begun(this);
+        }
         recordDelivery();
         resumption.markDelivered();
         if (attempt.countDelivery() == DELIVERIES_OF_BEGUN_ANSWER) {
@@ -521,6 +569,7 @@
         stallDetector.remove(this);
         resumption.release();
         silenceWait.release();
+        gate.ended(this);
     }
 
     @Override
--- a/src/main/java/hyssopturn/trace/EventCounters.java
+++ b/src/main/java/hyssopturn/trace/EventCounters.java
@@ -35,6 +35,7 @@
             case TraceEvent.Ended e -> labels(e.cause(), e.outcome());
             case TraceEvent.AttemptFailed e -> labels(e.cause(), e.next());
             case TraceEvent.AttemptKept e -> labels(e.cause(), e.obstacle());
+            case TraceEvent.AdmissionDecided e -> labels(e.cause(), e.decision());
             case TraceEvent.RetryDeferred e -> labels(e.obstacle(), "");
             case TraceEvent.DeferralEnded e -> labels("", e.outcome());
             case TraceEvent.Rerouted e -> labels(e.cause(), e.done() ? "done" : "refused");
--- a/src/main/java/hyssopturn/trace/TraceEvent.java
+++ b/src/main/java/hyssopturn/trace/TraceEvent.java
@@ -133,6 +133,35 @@
             long zoneTokens)
             implements TraceEvent {}
 
+    /**
+     * Admission control held, started after a wait, or refused a new stream.
+     *
+     * @param request id of the request
+     * @param decision {@code held}, {@code started} or {@code refused}
+     * @param cause why the stream was refused, empty otherwise
+     * @param priority its priority, 0 is the most urgent
+     * @param tokens tokens that it may hold at each engine
+     * @param held number of held streams of the service
+     * @param usedTokens tokens in use at the layer with the least memory left
+     * @param limitTokens tokens that may be used there
+     * @param shared true if the use is known from all nodes, false if it is estimated
+     * @param ageMillis age of what is known of other nodes, in milliseconds
+     * @param waitedMillis time since the request arrived, in milliseconds
+     */
+    record AdmissionDecided(
+            String request,
+            String decision,
+            String cause,
+            int priority,
+            long tokens,
+            int held,
+            long usedTokens,
+            long limitTokens,
+            boolean shared,
+            long ageMillis,
+            long waitedMillis)
+            implements TraceEvent {}
+
     /**
      * The event loop ran a task late, after it had been on time.
      *
--- a/src/test/java/hyssopturn/ArchitectureTest.java
+++ b/src/test/java/hyssopturn/ArchitectureTest.java
@@ -26,6 +26,7 @@
         "hyssopturn.fleet..",
         "hyssopturn.limit..",
         "hyssopturn.load..",
+        "hyssopturn.overload..",
         "hyssopturn.quarantine.."
     };
 
