--- a/src/main/java/hyssopturn/chain/ZoneChoice.java
+++ b/src/main/java/hyssopturn/chain/ZoneChoice.java
@@ -75,7 +75,11 @@
 
     /** Where the engines of a request's chain are. */
     public sealed interface Reach {
-        /** All in one zone. */
+        /**
+         * All in one zone.
+         *
+         * @param name the zone
+         */
         record Zone(String name) implements Reach {}
 
         /** In several zones. */
