--- a/src/main/java/hyssopturn/overload/StreamAdmission.java
+++ b/src/main/java/hyssopturn/overload/StreamAdmission.java
@@ -41,11 +41,17 @@
     private static final double URGENT_LEAD = 2;
 
     /** Use of the limit above which a node starts only its share of the streams. */
-    private static final double OPEN_PART = 0.85;
+    private static final double OPEN_PART = 0.7;
 
     /** Shortest time over which nodes together use up the room that they all see. */
     private static final Duration SPREAD = Duration.ofMillis(250);
 
+    /** Ages of the known load that are added to that time. */
+    private static final double AGES = 2;
+
+    /** Greatest credit or debt of a node, in streams of the mean size. */
+    private static final double MAX_CREDIT = 3;
+
     private static final Duration SEARCH_INTERVAL = Duration.ofMillis(100);
     private static final Duration REFUSAL_HALF_LIFE = Duration.ofSeconds(1);
 
@@ -217,17 +223,19 @@
     }
 
     /**
-     * Gives this node its share of the room that all nodes see. What other nodes start is seen only
-     * after some time, so that room is used up over at least that time.
+     * Lets this node replace the streams that it ended, and gives it its share of the room that all
+     * nodes see, or takes back its share of what they overfilled. What other nodes start is seen
+     * only after some time, so the correction takes longer than that.
      */
     private void earnCredit(Room room, long nowNanos) {
-        double free = part.limit(room) - room.used();
-        if (!room.shared() || room.nodes() <= 1 || room.used() < OPEN_PART * part.limit(room)) {
-            credit = meanTokens * -random.nextDouble() * (room.nodes() > 1 ? 1 : 0);
-        } else if (free > 0) {
-            double spread = Math.max(SPREAD.toNanos(), room.ageNanos());
-            double earned = free / room.nodes() * (nowNanos - creditNanos) / spread;
-            credit = Math.min(meanTokens, credit + earned);
+        double limit = part.limit(room);
+        if (!room.shared() || room.nodes() <= 1 || room.used() < OPEN_PART * limit) {
+            credit = meanTokens * (random.nextDouble() - 1) * (room.nodes() > 1 ? 1 : 0);
+        } else {
+            double spread = SPREAD.toNanos() + AGES * room.ageNanos();
+            double share = (limit - room.used()) / room.nodes();
+            credit += share * (nowNanos - creditNanos) / spread;
+            credit = Math.clamp(credit, -MAX_CREDIT * meanTokens, MAX_CREDIT * meanTokens);
         }
         creditNanos = nowNanos;
     }
@@ -332,6 +340,7 @@
         unbegun.remove(ticket);
         if (ticket.started()) {
             ownTokens -= ticket.tokens();
+            credit += ticket.tokens();
         }
         ticket.end();
     }
--- a/src/test/java/hyssopturn/overload/OverloadSimulation.java
+++ b/src/test/java/hyssopturn/overload/OverloadSimulation.java
@@ -35,7 +35,7 @@
             new PriorityQueue<>(
                     Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
     private final List<Engine> engines;
-    final List<StreamAdmission> nodes;
+    private final List<StreamAdmission> nodes;
     private final double[] weights;
     private final double engineTokens;
     private final boolean shared;
@@ -58,7 +58,7 @@
         long begun = -1;
         boolean started;
         boolean refused;
-        String cause = "overdue";
+        boolean held;
         private StreamAdmission node;
 
         Stream(String account, int priority, double tokens, long duration, long asked, long target) {
@@ -104,16 +104,18 @@
         weights = IntStream.range(0, nodeCount).mapToDouble(i -> 0.3 + random.nextDouble()).toArray();
     }
 
+    /** Adds requests that are the same whatever other clients there are. */
     void add(Clients clients) {
+        SplittableRandom draws = new SplittableRandom(clients.account.hashCode());
         double at = clients.from;
         while (true) {
-            at += -Math.log(1 - random.nextDouble()) / clients.rate;
+            at += -Math.log(1 - draws.nextDouble()) / clients.rate;
             if (at >= clients.until) {
                 return;
             }
-            boolean large = random.nextInt(10) == 0;
-            double tokens = clients.tokens * (large ? 4 : 0.4 + 0.53 * random.nextDouble());
-            long duration = (long) ((1 + 3 * random.nextDouble()) * SECOND);
+            boolean large = draws.nextInt(10) == 0;
+            double tokens = clients.tokens * (large ? 4 : 0.4 + 0.53 * draws.nextDouble());
+            long duration = (long) ((1 + 3 * draws.nextDouble()) * SECOND);
             long asked = (long) (at * SECOND);
             long target = (clients.priority == 0 ? 500 : 1_000) * MILLI;
             Stream stream =
@@ -174,10 +176,8 @@
         }
         switch (stream.node.arrive(stream.ticket, room(stream.node), now)) {
             case Decision.Start start -> start(stream);
-            case Decision.Hold hold -> {
-                // offered by a later tick
-            }
-            case Decision.Refuse refuse -> { stream.refused = true; stream.cause = refuse.cause(); }
+            case Decision.Hold hold -> stream.held = true;
+            case Decision.Refuse refuse -> stream.refused = true;
         }
     }
 
