--- a/src/main/java/hyssopturn/share/HubChoice.java
+++ b/src/main/java/hyssopturn/share/HubChoice.java
@@ -69,7 +69,7 @@
     private List<Address> candidates(List<Address> ordered) {
         List<Address> found = new ArrayList<>(hubs);
         if (!found.isEmpty()) {
-            Collections.rotate(found, Math.floorMod(self.hashCode(), found.size()));
+            Collections.rotate(found, spread(self) % found.size());
         }
         int end = Math.min(ordered.size(), hubs.size() + SUBSTITUTES);
         found.addAll(ordered.subList(hubs.size(), end));
@@ -77,6 +77,11 @@
         return found;
     }
 
+    /** Returns a number whose remainders are spread also for addresses that differ little. */
+    private static int spread(Address address) {
+        return (address.hashCode() * 0x9E3779B9) >>> Short.SIZE;
+    }
+
     /** Returns whether the group is large enough, and the hubs are known. */
     boolean active() {
         return nodes >= MIN_NODES && !hubs.isEmpty();
--- a/src/main/java/hyssopturn/share/StreamRing.java
+++ b/src/main/java/hyssopturn/share/StreamRing.java
@@ -250,7 +250,7 @@
     private static long silence(String key) {
         long half = MAX_SILENCE.toNanos() / 2;
         int buckets = 64;
-        return half + half / buckets * Math.floorMod(key.hashCode() * 0x9E3779B9 >>> 8, buckets);
+        return half + half / buckets * Math.floorMod((key.hashCode() * 0x9E3779B9) >>> 8, buckets);
     }
 
     /** Keeps a repetition that was left out, in front of the record that follows it. */
