Command that explains how a running node would route a request

Cause: why a request goes where it goes could only be read from logs after the fact. Change: hyssopturn where asks a node's metrics port (/where), which runs the code of the choice on copies of its counts. Admission control is not part of it yet. Result: ExplainedRouteTest asks, then sends the request, and compares; WhereCommandTest checks output and errors.

--- a/src/main/java/hyssopturn/catalog/Catalog.java
+++ b/src/main/java/hyssopturn/catalog/Catalog.java
@@ -142,6 +142,19 @@
         return accounts.map(a -> a.get(key));
     }
 
+    /**
+     * Finds an account by its name.
+     *
+     * @param name the name
+     * @return the account, empty if there is none
+     */
+    public Optional<Account> accountNamed(String name) {
+        return accounts.stream()
+                .flatMap(a -> a.values().stream())
+                .filter(a -> a.name().equals(name))
+                .findFirst();
+    }
+
     /**
      * Returns whether the configuration has client accounts.
      *
--- a/src/main/java/hyssopturn/chain/EngineLoad.java
+++ b/src/main/java/hyssopturn/chain/EngineLoad.java
@@ -46,6 +46,20 @@
         this.nodesPerZone = nodesPerZone;
     }
 
+    /**
+     * Copies the load, so that a choice can be tried without drawing from the same noise.
+     *
+     * @param noise source of the noise in the copy's estimates
+     * @return the copy, which does not change with the original
+     */
+    public EngineLoad copy(RandomGenerator noise) {
+        EngineLoad copy = new EngineLoad(noise, nodesPerZone);
+        copy.refusedNanos.putAll(refusedNanos);
+        copy.layerTokens.putAll(layerTokens);
+        copy.totalTokens = totalTokens;
+        return copy;
+    }
+
     /**
      * Sets how many nodes share the engines of an availability zone.
      *
--- a/src/main/java/hyssopturn/chain/InterZoneBudget.java
+++ b/src/main/java/hyssopturn/chain/InterZoneBudget.java
@@ -34,7 +34,7 @@
     private static final double BITS_PER_MEGABIT = 1_000_000;
 
     private final Map<ZoneLink, Bucket> buckets = new HashMap<>();
-    private final ZoneFlows flows = new ZoneFlows();
+    private final ZoneFlows flows;
     private double nodes;
 
     /**
@@ -43,9 +43,28 @@
      * @param nodes number of nodes, this one included
      */
     public InterZoneBudget(double nodes) {
+        this(nodes, new ZoneFlows());
+    }
+
+    private InterZoneBudget(double nodes, ZoneFlows flows) {
+        this.flows = flows;
         nodes(nodes);
     }
 
+    /**
+     * Copies the budget, so that its use can be tried.
+     *
+     * @return the copy, whose flows report nothing
+     */
+    public InterZoneBudget copy() {
+        InterZoneBudget copy = new InterZoneBudget(nodes, flows.copy());
+        buckets.forEach(
+                (link, bucket) ->
+                        copy.buckets.put(
+                                link, new Bucket(bucket.availableMillis, bucket.refilledNanos)));
+        return copy;
+    }
+
     /** What link time is needed for. */
     public enum Use {
         /** A request of which the caller has received nothing, or which still has its chain. */
--- a/src/main/java/hyssopturn/chain/ZoneFlows.java
+++ b/src/main/java/hyssopturn/chain/ZoneFlows.java
@@ -38,9 +38,27 @@
     private static final Duration REPORT_INTERVAL = Duration.ofSeconds(5);
 
     private final Map<String, ServiceFlows> services = new HashMap<>();
+    private final boolean reporting;
 
     /** Creates flows of zero. */
-    public ZoneFlows() {}
+    public ZoneFlows() {
+        this(true);
+    }
+
+    private ZoneFlows(boolean reporting) {
+        this.reporting = reporting;
+    }
+
+    /**
+     * Copies the parts in force.
+     *
+     * @return the copy, which reports nothing
+     */
+    ZoneFlows copy() {
+        ZoneFlows copy = new ZoneFlows(false);
+        services.forEach((service, flows) -> copy.services.put(service, flows.copy()));
+        return copy;
+    }
 
     /** Receives the parts that changed notably. */
     @FunctionalInterface
@@ -61,6 +79,15 @@
         private long updatedNanos;
         private boolean updated;
 
+        private ServiceFlows copy() {
+            ServiceFlows copy = new ServiceFlows();
+            flows.forEach((zone, flow) -> copy.flows.put(zone, flow.copy()));
+            copy.plan = plan;
+            copy.updatedNanos = updatedNanos;
+            copy.updated = updated;
+            return copy;
+        }
+
         private boolean due(long nowNanos) {
             return !updated || nowNanos - updatedNanos >= INTERVAL.toNanos();
         }
@@ -77,6 +104,13 @@
         private double reported;
         private long reportedNanos;
 
+        private Flow copy() {
+            Flow copy = new Flow();
+            copy.mean = mean;
+            copy.part = part;
+            return copy;
+        }
+
         void approach(double wanted, long steps) {
             mean += (wanted - mean) * (1 - Math.pow(1 - SMOOTHING, steps));
             if (mean < DEAD_BAND && wanted == 0) {
@@ -117,7 +151,10 @@
         ServiceFlows known = services.computeIfAbsent(service, s -> new ServiceFlows());
         if (known.due(nowNanos)) {
             update(known, own, states.get(), nowNanos);
-            known.flows.forEach((zone, flow) -> report(service, zone, flow, nowNanos, listener));
+            if (reporting) {
+                known.flows.forEach(
+                        (zone, flow) -> report(service, zone, flow, nowNanos, listener));
+            }
         }
         return known.plan;
     }
--- a/src/main/java/hyssopturn/cli/Program.java
+++ b/src/main/java/hyssopturn/cli/Program.java
@@ -56,6 +56,7 @@
         commands.put("router", RouterCommand::new);
         commands.put("selftest", SelftestCommand::new);
         commands.put("explain", ExplainCommand::new);
+        commands.put("where", WhereCommand::new);
         commands.put("try", TryCommand::new);
         commands.put("status", StatusCommand::new);
         commands.put("timeline", TimelineCommand::new);
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -87,6 +87,7 @@
             new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final RoutingState knowledge = new RoutingState();
     private final Relay relay;
+    private final WhereHandler where;
     private final KeyedFollower config;
     private final KeyedFollower endpoints;
     private final KeyedFollower faults;
@@ -174,6 +175,7 @@
                                 relaySettings(settings)),
                         adapter.engines(),
                         bodyMemory);
+        where = new WhereHandler(relay::explain);
         servers = new CallerServers(vertx, clock, meters);
         callers = servers.forCallers(relay::handle, knowledge::callerLimits);
         config = configFollower(adapter);
@@ -359,6 +361,10 @@
     }
 
     private void metrics(HttpServerRequest request) {
+        if (request.path().equals(WhereHandler.PATH)) {
+            where.handle(request);
+            return;
+        }
         request.response()
                 .putHeader("Content-Type", "text/plain; version=0.0.4")
                 .end(meters.scrape());
--- a/src/main/java/hyssopturn/relay/ChainFinder.java
+++ b/src/main/java/hyssopturn/relay/ChainFinder.java
@@ -8,6 +8,7 @@
 import hyssopturn.chain.InterZoneBudget;
 import hyssopturn.chain.ZoneChoice;
 import hyssopturn.chain.ZoneLink;
+import hyssopturn.chain.ZonePlan;
 import hyssopturn.chain.ZoneStates;
 import hyssopturn.fleet.Endpoint;
 import hyssopturn.fleet.Roster;
@@ -109,6 +110,14 @@
         return search(engines, first, excluded);
     }
 
+    /**
+     * Finds a chain that may include engines that refused a request recently, that only other nodes
+     * suspect, or that announced their shutdown.
+     */
+    Optional<EngineChain> findDoubtful(Predicate<Endpoint> first, Set<InstanceId> excluded) {
+        return findAny(first, excluded).or(() -> findShuttingDown(first, excluded));
+    }
+
     /**
      * Finds a chain of engines that have not refused a request recently. Engines whose pause has
      * just ended are considered for part of the requests.
@@ -151,6 +160,20 @@
     }
 
     private Optional<ZoneChoice> zoneChoice(long now) {
+        return zonePlan(now).map(plan -> new ZoneChoice(spec, plan, request));
+    }
+
+    /** Returns what is known of the zones, empty if too little. */
+    Optional<ZonePlan> zonePlan() {
+        return zonePlan(now());
+    }
+
+    /** Returns the order in which zones are tried for a request that is not drawn to leave. */
+    List<ZoneChoice.Way> ways(ZonePlan plan) {
+        return new ZoneChoice(spec, plan, request).order(1);
+    }
+
+    private Optional<ZonePlan> zonePlan(long now) {
         String zone = context.settings().zone();
         return context.zoneLinks()
                 .flows()
@@ -159,8 +182,7 @@
                         zone,
                         () -> new ZoneStates(spec).known(service, zone, usable(), context.loads()),
                         now,
-                        this::recordFlow)
-                .map(plan -> new ZoneChoice(spec, plan, request));
+                        this::recordFlow);
     }
 
     private void recordFlow(String of, String zone, double part) {
--- a/src/main/java/hyssopturn/relay/EndpointOutcomes.java
+++ b/src/main/java/hyssopturn/relay/EndpointOutcomes.java
@@ -6,6 +6,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
 /**
@@ -108,8 +109,8 @@
     }
 
     /** Draws whether an endpoint is considered for a request: less often if it refuses many. */
-    boolean drawForUse(Endpoint endpoint) {
+    boolean drawForUse(Endpoint endpoint, RandomGenerator random) {
         double share = ejection(endpoint).share(start(endpoint));
-        return share >= 1 || context.random().nextDouble() < share;
+        return share >= 1 || random.nextDouble() < share;
     }
 }
--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -2,7 +2,6 @@
 
 import hyssopturn.admit.Ejection.Outcome;
 import hyssopturn.fleet.Endpoint;
-import hyssopturn.fleet.Roster;
 import hyssopturn.port.Clock;
 
 import io.vertx.core.buffer.Buffer;
@@ -11,13 +10,11 @@
 import io.vertx.core.http.HttpServerRequest;
 
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.SequencedMap;
-import java.util.stream.Stream;
 
 /**
  * A request to a plain service, whose answer is passed on once it has been read completely.
@@ -30,6 +27,7 @@
 
     private final ServiceLoad load;
     private final EndpointOutcomes outcomes;
+    private final EndpointChoice choice;
     private final SequencedMap<Integer, Running> running = new LinkedHashMap<>();
     private int lastAttemptId;
     private Optional<Clock.Timer> slowTimer = Optional.empty();
@@ -44,6 +42,7 @@
         super(context, request, admitted, checks);
         this.load = load;
         this.outcomes = outcomes;
+        choice = new EndpointChoice(context, load, outcomes, admitted, excluded, this::mayAttempt);
     }
 
     /** An attempt in progress, with its request once the connection is open. */
@@ -64,9 +63,9 @@
 
     @Override
     void startAttempt() {
-        Optional<Endpoint> choice = choose();
-        if (choice.isPresent()) {
-            startAt(choice.get());
+        Optional<Endpoint> found = choice.choose();
+        if (found.isPresent()) {
+            startAt(found.get());
         } else if (running.isEmpty()) {
             giveUp(lastFailureOr("no endpoint"));
         } else {
@@ -92,54 +91,6 @@
         openRequest(attempt).onComplete(r -> send(started, r), e -> unreachable(started, e));
     }
 
-    /**
-     * Chooses the endpoint with the fewest requests of this node, preferably one that has not
-     * failed lately and is in this node's own zone. One whose pause has just ended, or that refuses
-     * more than others, is considered for part of the requests, and one that was ejected only for
-     * trials. If there is no other, it may be an ejected one, one that only other nodes suspect, or
-     * one that announced its shutdown a short time ago.
-     */
-    private Optional<Endpoint> choose() {
-        Roster roster = context.routingState().roster();
-        String service = admitted.service();
-        Duration shutdownPeriod = context.settings().shutdownPeriod();
-        return leastLoaded(admittedCandidates().filter(this::drawForUse))
-                .or(() -> leastLoaded(admittedCandidates()))
-                .or(() -> leastLoaded(candidates()))
-                .or(() -> leastLoaded(allowed(roster.usableOrReported(service, now()))))
-                .or(
-                        () ->
-                                leastLoaded(
-                                        allowed(
-                                                roster.shuttingDown(
-                                                        service, shutdownPeriod, now()))));
-    }
-
-    private Optional<Endpoint> leastLoaded(Stream<Endpoint> endpoints) {
-        return endpoints.min(
-                Comparator.comparingInt((Endpoint e) -> load.requestsAt(e.id()))
-                        .thenComparing(outcomes::recentlyFailed)
-                        .thenComparing(e -> !e.zone().equals(context.settings().zone()))
-                        .thenComparing(Endpoint::id));
-    }
-
-    private boolean drawForUse(Endpoint endpoint) {
-        return context.drawForUse(endpoint) && outcomes.drawForUse(endpoint);
-    }
-
-    private Stream<Endpoint> admittedCandidates() {
-        boolean repeatable = admitted.route().retryPolicy().allowsRetry();
-        return candidates().filter(e -> outcomes.admits(e, repeatable));
-    }
-
-    private Stream<Endpoint> candidates() {
-        return allowed(context.routingState().roster().usable(admitted.service(), now()));
-    }
-
-    private Stream<Endpoint> allowed(List<Endpoint> endpoints) {
-        return endpoints.stream().filter(e -> !excluded.contains(e.id()) && mayAttempt(e));
-    }
-
     private void unreachable(Running attempt, Throwable error) {
         if (stale(attempt)) {
             return;
@@ -216,7 +167,7 @@
         if (obstacle.isPresent()) {
             return obstacle;
         }
-        return candidates().findAny().isPresent()
+        return choice.candidates().findAny().isPresent()
                 ? Optional.empty()
                 : Optional.of("no other endpoint");
     }
@@ -283,7 +234,7 @@
         remove(attempt, reply.failure() ? Outcome.FAILURE : Outcome.SUCCESS);
         if (reply.failure()
                 && admitted.route().retryPolicy().allowsRetry()
-                && choose().isPresent()
+                && choice.choose().isPresent()
                 && acquireRetry(attempt.endpoint(), "endpoint failed", Optional.empty())) {
             attempt();
             return;
--- a/src/main/java/hyssopturn/relay/Relay.java
+++ b/src/main/java/hyssopturn/relay/Relay.java
@@ -94,6 +94,18 @@
         List.copyOf(calls).forEach(Call::breakOffBeforeExit);
     }
 
+    /**
+     * Tells how a request would be routed now, without an effect.
+     *
+     * @param query the request
+     * @return the explanation
+     * @throws UnknownRouteException if the node knows no such route or account, or is in another
+     *     zone
+     */
+    public RouteExplanation explain(RouteQuery query) throws UnknownRouteException {
+        return new RouteExplainer(context, serviceLoad, outcomes).explain(query);
+    }
+
     /**
      * Returns the number of requests in progress.
      *
--- a/src/main/java/hyssopturn/relay/RelayContext.java
+++ b/src/main/java/hyssopturn/relay/RelayContext.java
@@ -11,6 +11,7 @@
 import hyssopturn.trace.TraceLog;
 
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.vertx.core.http.HttpClient;
 
 import java.util.function.Consumer;
@@ -61,6 +62,36 @@
         TraceLog trace,
         MeterRegistry meters,
         RelaySettings settings) {
+    /**
+     * Returns the same dependencies with copies of the counts that a choice of endpoints changes,
+     * so that one can be tried without effect.
+     *
+     * @param draws random number generator of the trial
+     * @return the dependencies of the trial
+     */
+    RelayContext forDryRun(RandomGenerator draws) {
+        return new RelayContext(
+                routingState,
+                headerCodec,
+                client,
+                clock,
+                draws,
+                retryBudget,
+                load.copy(draws),
+                loads,
+                zoneLinks.copy(),
+                liveness,
+                loopLag,
+                faultReports,
+                answerMemory,
+                limits,
+                notices,
+                prompts,
+                trace,
+                new SimpleMeterRegistry(),
+                settings);
+    }
+
     /**
      * Draws whether an endpoint is considered for a request: always, but during and shortly after a
      * pause that it asked for.
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -141,8 +141,7 @@
     /** Finds a chain for the next attempt. */
     private Optional<EngineChain> findChain(Set<InstanceId> unusable) {
         return findChainWithCapacity(unusable)
-                .or(() -> chainFinder.findAny(this::mayAttempt, unusable))
-                .or(() -> chainFinder.findShuttingDown(this::mayAttempt, unusable));
+                .or(() -> chainFinder.findDoubtful(this::mayAttempt, unusable));
     }
 
     /** Finds a chain of engines that have not refused a request recently. */
--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -26,7 +26,10 @@
 import hyssopturn.relay.RelayContext;
 import hyssopturn.relay.RelaySettings;
 import hyssopturn.relay.RetryBudget;
+import hyssopturn.relay.RouteExplanation;
+import hyssopturn.relay.RouteQuery;
 import hyssopturn.relay.RoutingState;
+import hyssopturn.relay.UnknownRouteException;
 import hyssopturn.trace.TraceEvent;
 import hyssopturn.trace.TraceLog;
 
@@ -350,6 +353,31 @@
         return tokens.join();
     }
 
+    /** Asks the relay how it would route a request. */
+    RouteExplanation explain(RouteQuery query) {
+        CompletableFuture<RouteExplanation> explanation = new CompletableFuture<>();
+        vertx.runOnContext(
+                v -> {
+                    try {
+                        explanation.complete(relay.explain(query));
+                    } catch (UnknownRouteException e) {
+                        explanation.completeExceptionally(e);
+                    }
+                });
+        return explanation.join();
+    }
+
+    /** Returns the chains or endpoints that requests were sent to, in order. */
+    List<String> offered() {
+        synchronized (events) {
+            return events.stream()
+                    .filter(TraceEvent.Offered.class::isInstance)
+                    .map(TraceEvent.Offered.class::cast)
+                    .map(e -> e.chain().isEmpty() ? e.endpoint() : e.chain())
+                    .toList();
+        }
+    }
+
     /** Returns the address at which the relay accepts callers. */
     Address front() {
         return new Address(HOST, port);
