--- a/src/main/java/hyssopturn/catalog/Catalog.java
+++ b/src/main/java/hyssopturn/catalog/Catalog.java
@@ -155,6 +155,16 @@
      */
     public boolean hasSeveralPriorities(String service) {
         return servicesWithPriorities.contains(service);
+     * Finds an account by its name.
+     *
+     * @param name the name
+     * @return the account, empty if there is none
+     */
+    public Optional<Account> accountNamed(String name) {
+        return accounts.stream()
+                .flatMap(a -> a.values().stream())
+                .filter(a -> a.name().equals(name))
+                .findFirst();
     }
 
     /**
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -68,6 +68,10 @@
     private final RoutingState knowledge = new RoutingState();
     private final Relay relay;
     private final StoreReading reading;
+    private final WhereHandler where;
+    private final KeyedFollower config;
+    private final KeyedFollower endpoints;
+    private final KeyedFollower faults;
     private final LayerController layers;
     private final LimitSocket limitSocket;
     private final EndpointLimits limits;
@@ -153,6 +157,7 @@
                                 relaySettings(settings)),
                         adapter.engines(),
                         bodyMemory);
+        where = new WhereHandler(relay::explain);
         servers = new CallerServers(vertx, clock, meters);
         callers = servers.forCallers(relay::handle, knowledge::callerLimits);
         reading =
@@ -287,6 +292,10 @@
     }
 
     private void metrics(HttpServerRequest request) {
+        if (request.path().equals(WhereHandler.PATH)) {
+            where.handle(request);
+            return;
+        }
         request.response()
                 .putHeader("Content-Type", "text/plain; version=0.0.4")
                 .end(meters.scrape());
