--- a/src/main/java/hyssopturn/catalog/Catalog.java
+++ b/src/main/java/hyssopturn/catalog/Catalog.java
@@ -155,6 +155,9 @@
      */
     public boolean hasSeveralPriorities(String service) {
         return servicesWithPriorities.contains(service);
+    }
+
+    /**
      * Finds an account by its name.
      *
      * @param name the name
--- a/src/main/java/hyssopturn/catalog/Priorities.java
+++ b/src/main/java/hyssopturn/catalog/Priorities.java
@@ -17,8 +17,28 @@
     /** The least urgent priority. */
     public static final int LEAST_URGENT = 9;
 
+    /** Number of priorities of routes that are told apart among accounts of equal priority. */
+    private static final int ROUTE_LEVELS = 3;
+
     private Priorities() {}
 
+    /**
+     * Ranks a request: accounts are compared first, and requests of accounts with equal priorities
+     * by their routes.
+     *
+     * @param route route of the request
+     * @param account account of the caller
+     * @return the rank, from 0, the most urgent, to 9
+     */
+    public static int rank(Route route, Optional<Account> account) {
+        return rank(route, account.map(Account::priority).orElse(OptionalInt.empty()));
+    }
+
+    private static int rank(Route route, OptionalInt ofAccount) {
+        int level = Math.clamp(route.priority(), 0, ROUTE_LEVELS - 1);
+        return Math.min(LEAST_URGENT, effective(route, ofAccount) * ROUTE_LEVELS + level);
+    }
+
     /**
      * Returns the priority of a request: its account's, otherwise its route's, within the limits.
      *
@@ -56,9 +76,9 @@
     private static Set<Integer> possible(Route route, Set<OptionalInt> ofAccounts) {
         Set<Integer> priorities = new HashSet<>();
         if (ofAccounts.isEmpty() || route.anonymous()) {
-            priorities.add(effective(route, OptionalInt.empty()));
+            priorities.add(rank(route, OptionalInt.empty()));
         }
-        ofAccounts.forEach(priority -> priorities.add(effective(route, priority)));
+        ofAccounts.forEach(priority -> priorities.add(rank(route, priority)));
         return priorities;
     }
 }
--- a/src/main/java/hyssopturn/chain/ZoneFlows.java
+++ b/src/main/java/hyssopturn/chain/ZoneFlows.java
@@ -112,7 +112,7 @@
         }
 
         void approach(double wanted, long steps) {
-            mean += (wanted - mean) * (1 - Math.pow(1 - SMOOTHING, steps));
+            mean += (wanted - mean) * (1 - Math.pow(1 - SMOOTHING, (double) steps));
             if (mean < DEAD_BAND && wanted == 0) {
                 change(-part, steps);
             } else if (Math.abs(mean - part) > DEAD_BAND) {
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -69,9 +69,6 @@
     private final Relay relay;
     private final StoreReading reading;
     private final WhereHandler where;
-    private final KeyedFollower config;
-    private final KeyedFollower endpoints;
-    private final KeyedFollower faults;
     private final LayerController layers;
     private final LimitSocket limitSocket;
     private final EndpointLimits limits;
--- a/src/main/java/hyssopturn/relay/Admitted.java
+++ b/src/main/java/hyssopturn/relay/Admitted.java
@@ -26,7 +26,7 @@
 
     /** Returns the priority of the request, from 0, the most urgent, to 9. */
     int priority() {
-        return Priorities.effective(route, account);
+        return Priorities.rank(route, account);
     }
 
     /** Returns the priority that engines receive, empty if all requests to the service share one. */
--- a/src/main/java/hyssopturn/relay/ChainFinder.java
+++ b/src/main/java/hyssopturn/relay/ChainFinder.java
@@ -41,7 +41,7 @@
         this.spec = spec;
         size = size(admitted.headers(), spec);
         Route route = admitted.route();
-        request = new ZoneChoice.Request(size, route.target(), route.priority());
+        request = new ZoneChoice.Request(size, route.target(), admitted.priority());
     }
 
     /**
--- a/src/main/java/hyssopturn/relay/StreamCounting.java
+++ b/src/main/java/hyssopturn/relay/StreamCounting.java
@@ -18,14 +18,10 @@
 
     /** Creates the count of a stream that does not compete for capacity yet. */
     StreamCounting(OwnLoad load, Admitted admitted) {
-        counts = load.streams(admitted.service(), priority(admitted));
+        counts = load.streams(admitted.service(), admitted.priority());
         targetNanos = admitted.arrivedNanos() + admitted.route().target().toNanos();
     }
 
-    private static int priority(Admitted admitted) {
-        return admitted.route().priority();
-    }
-
     /** Records that the stream asks for capacity, from now on and until it is started. */
     void asked() {
         if (state == State.NEW) {
--- a/src/main/java/hyssopturn/relay/StreamGate.java
+++ b/src/main/java/hyssopturn/relay/StreamGate.java
@@ -200,7 +200,7 @@
                                 decision,
                                 cause,
                                 call.admitted.priority(),
-                                Math.round(call.tokens()),
+                                call.tokens(),
                                 service.admission.heldCount(),
                                 Math.round(room.used()),
                                 Math.round(service.admission.limit(room)),
