--- a/src/main/java/hyssopturn/overload/PriorityDemand.java
+++ b/src/main/java/hyssopturn/overload/PriorityDemand.java
@@ -18,13 +18,13 @@
      * Part of the share of all streams below which a priority is served first. The least urgent
      * must get a quarter; a priority falls short of the bound before it is served.
      */
-    private static final double GUARANTEED = 0.3;
+    private static final double GUARANTEED = 0.4;
 
     /** Part of the capacity rate that remains for a priority whatever the more urgent ask for. */
     private static final double LEAST_RATE = 0.25;
 
     /** Time for which the demand of more urgent priorities has room reserved. */
-    private static final double RESERVED_SECONDS = 0.15;
+    private static final double RESERVED_SECONDS = 0.4;
 
     /** Greatest part of the room that is reserved. */
     private static final double MAX_RESERVED = 0.2;
@@ -85,8 +85,7 @@
      * Returns the tokens that are reserved for more urgent streams: those expected for some time,
      * and the standard deviation of that number if they arrive independently.
      */
-    double reserved(
-            int priority, double limit, Room room, double meanCost, long nowNanos) {
+    double reserved(int priority, double limit, Room room, double meanCost, long nowNanos) {
         if (starved(priority, nowNanos)) {
             return 0;
         }
--- a/src/main/java/hyssopturn/overload/StreamAdmission.java
+++ b/src/main/java/hyssopturn/overload/StreamAdmission.java
@@ -218,8 +218,7 @@
             }
         }
         boolean nearLimit = room.used() > OPEN_PART * part.limit(room);
-        constrained =
-                held.size() > 0 || (nearLimit && (constrained || part.limited()));
+        constrained = held.size() > 0 || (nearLimit && (constrained || part.limited()));
     }
 
     /**
--- a/src/main/java/hyssopturn/platform/CatalogDecoder.java
+++ b/src/main/java/hyssopturn/platform/CatalogDecoder.java
@@ -211,10 +211,7 @@
     /** Reports the malformed priorities of a list in one message, since a list may be long. */
     private void reportPriorities(String list) {
         List<JsonNode> malformed =
-                config.path(list)
-                        .valueStream()
-                        .filter(CatalogEntries::malformedPriority)
-                        .toList();
+                config.path(list).valueStream().filter(CatalogEntries::malformedPriority).toList();
         if (!malformed.isEmpty()) {
             String first = shortName(malformed.getFirst());
             unreadable.add(
--- a/src/main/java/hyssopturn/relay/Admitted.java
+++ b/src/main/java/hyssopturn/relay/Admitted.java
@@ -29,7 +29,9 @@
         return Priorities.effective(route, account);
     }
 
-    /** Returns the priority that engines receive, empty if all requests to the service share one. */
+    /**
+     * Returns the priority that engines receive, empty if all requests to the service share one.
+     */
     OptionalInt sentPriority() {
         return catalog.hasSeveralPriorities(service)
                 ? OptionalInt.of(priority())
--- a/src/main/java/hyssopturn/relay/StreamGate.java
+++ b/src/main/java/hyssopturn/relay/StreamGate.java
@@ -91,7 +91,8 @@
                     known.shared()
                             ? known.used() + admission.ownTokens() - ownThen
                             : admission.ownTokens() * known.nodes();
-            return new Room(known.capacity(), used, known.nodes(), known.shared(), known.ageNanos());
+            return new Room(
+                    known.capacity(), used, known.nodes(), known.shared(), known.ageNanos());
         }
 
         private Room measure(long now) {
@@ -110,7 +111,9 @@
                     load.map(l -> l.age().toNanos()).orElse(0L));
         }
 
-        /** Returns the number of nodes of which this one is, by the streams that clients ask for. */
+        /**
+         * Returns the number of nodes of which this one is, by the streams that clients ask for.
+         */
         private double nodes(ZoneLoad load, long now) {
             double zone =
                     load.priorities().stream().mapToDouble(PriorityLoad::askedPerSecond).sum();
@@ -200,7 +203,7 @@
                                 decision,
                                 cause,
                                 call.admitted.priority(),
-                                Math.round(call.tokens()),
+                                call.tokens(),
                                 service.admission.heldCount(),
                                 Math.round(room.used()),
                                 Math.round(service.admission.limit(room)),
