--- a/src/test/java/hyssopturn/platform/RequestPriorityTest.java
+++ b/src/test/java/hyssopturn/platform/RequestPriorityTest.java
@@ -38,10 +38,9 @@
                             "StreamResume":true,"TimeoutMs":9000,"TargetLatencyMs":500,
                             "GapAimMs":100,"AnonymousAccess":false,"Service":"w"%s}],
                  "Tenants":[{"Name":"a","ApiKeys":["k"]%s}]}
-                """;
-        return CatalogDecoder.decode(
-                Bytes.utf8(String.format(config, field(routePriority), field(accountPriority))),
-                Optional.empty());
+                """
+                        .formatted(field(routePriority), field(accountPriority));
+        return CatalogDecoder.decode(Bytes.utf8(config), Optional.empty());
     }
 
     private static String field(String priority) {
