--- a/src/test/java/hyssopturn/platform/RequestPriorityTest.java
+++ b/src/test/java/hyssopturn/platform/RequestPriorityTest.java
@@ -38,10 +38,9 @@
                             "StreamResume":true,"TimeoutMs":9000,"TargetLatencyMs":500,
                             "GapAimMs":100,"AnonymousAccess":false,"Service":"w"%s}],
                  "Tenants":[{"Name":"a","ApiKeys":["k"]%s}]}
-                """;
-        return CatalogDecoder.decode(
-                Bytes.utf8(String.format(config, field(routePriority), field(accountPriority))),
-                Optional.empty());
+                """
+                        .formatted(field(routePriority), field(accountPriority));
+        return CatalogDecoder.decode(Bytes.utf8(config), Optional.empty());
     }
 
     private static String field(String priority) {
@@ -72,8 +71,7 @@
         void thatIsMalformedIsIgnoredAndReportedOnce(String odd) {
             CatalogReading reading = read("4", odd);
             assertThat(effective(reading.catalog()), equalTo(4));
-            assertThat(
-                    reading.unreadable(), contains("Priority of 1 of Tenants ignored, first a"));
+            assertThat(reading.unreadable(), contains("Priority of 1 of Tenants ignored, first a"));
         }
 
         @Test
