--- a/src/test/java/hyssopturn/share/StoreSharingTest.java
+++ b/src/test/java/hyssopturn/share/StoreSharingTest.java
@@ -107,7 +107,7 @@
             for (int i = 0; i < 10; i++) {
                 group.clock.advance(Duration.ofMillis(1_037));
                 group.announce("e1", "ready", 1);
-                group.clock.advance(Duration.ofMillis(2_000));
+                group.clock.advance(Duration.ofSeconds(2));
                 slowest = Math.max(slowest, millisUntilLeavingKnown());
             }
             assertThat(slowest, lessThanOrEqualTo(LEAVE_MILLIS));
