--- a/src/main/java/hyssopturn/load/OwnLoad.java
+++ b/src/main/java/hyssopturn/load/OwnLoad.java
@@ -52,6 +52,8 @@
         private final Rate late = new Rate(STREAM_SECONDS);
         private long held;
 
+        private StreamCounts() {}
+
         /** Counts a stream that a client asked for, and that is held until it is started. */
         public void asked() {
             asked.add(1);
