--- a/src/test/java/hyssopturn/chain/SharedLoadSimulation.java
+++ b/src/test/java/hyssopturn/chain/SharedLoadSimulation.java
@@ -105,7 +105,7 @@
                         e ->
                                 capacity(e)
                                         - node.predictedTokens(e.id(), draw)
-                                                .orElse(node.ownTokens(e.id())))
+                                                .orElse((double) node.ownTokens(e.id())))
                 .sum();
     }
 
--- a/src/test/java/hyssopturn/peer/LoadTrafficTest.java
+++ b/src/test/java/hyssopturn/peer/LoadTrafficTest.java
@@ -80,7 +80,7 @@
         for (int engine = 0; engine < ENGINES; engine += 50) {
             assertThat(
                     network.nodes().get(1).exchange().usedTokens(id(engine)).orElse(-1),
-                    closeTo(tokens[engine], 2.0 * TOKENS));
+                    closeTo((double) tokens[engine], 2.0 * TOKENS));
         }
     }
 }
