--- a/src/main/java/hyssopturn/relay/ChainFinder.java
+++ b/src/main/java/hyssopturn/relay/ChainFinder.java
@@ -7,6 +7,7 @@
 import hyssopturn.chain.Hop;
 import hyssopturn.chain.InterZoneBudget;
 import hyssopturn.chain.ZoneChoice;
+import hyssopturn.chain.ZoneFlows;
 import hyssopturn.chain.ZoneLink;
 import hyssopturn.chain.ZonePlan;
 import hyssopturn.chain.ZoneStates;
@@ -17,6 +18,7 @@
 import hyssopturn.trace.TraceEvent;
 
 import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Tags;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -28,6 +30,7 @@
 /** Finds chains for one request among the engines that are currently known. */
 final class ChainFinder {
     private static final String OWN_ZONE = "own zone";
+    private static final String PART = "hyssopturn.zone.part";
 
     private final RelayContext context;
     private final String service;
@@ -186,12 +189,11 @@
     }
 
     private void recordFlow(String of, String zone, double part) {
-        Gauge.builder(
-                        "hyssopturn.zone.part",
-                        context.zoneLinks().flows(),
-                        flows -> flows.part(of, zone))
-                .tags("service", of, "zone", zone)
-                .register(context.meters());
+        Tags tags = Tags.of("service", of, "zone", zone);
+        if (context.meters().find(PART).tags(tags).gauge() == null) {
+            ZoneFlows flows = context.zoneLinks().flows();
+            Gauge.builder(PART, flows, f -> f.part(of, zone)).tags(tags).register(context.meters());
+        }
         context.trace()
                 .record(new TraceEvent.ZoneFlowChanged(of, context.settings().zone(), zone, part));
     }
--- a/src/test/java/hyssopturn/platform/ExplainedRouteTest.java
+++ b/src/test/java/hyssopturn/platform/ExplainedRouteTest.java
@@ -4,10 +4,11 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.hasSize;
-import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import hyssopturn.relay.RouteExplanation;
 import hyssopturn.relay.RouteQuery;
+import hyssopturn.relay.UnknownRouteException;
+import hyssopturn.trace.TraceEvent;
 
 import io.vertx.core.http.HttpServerRequest;
 
@@ -16,7 +17,6 @@
 
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CompletionException;
 
 /** Guards against explanations that differ from what happens to the request, or that change it. */
 class ExplainedRouteTest {
@@ -31,10 +31,33 @@
         return new RouteQuery("town.example", path, account, 10, 10, "");
     }
 
+    /** Returns the explanation, or the error that is given in its place. */
+    private Object ask(RouteQuery query) {
+        return harness.onRelay(
+                relay -> {
+                    try {
+                        return relay.explain(query);
+                    } catch (UnknownRouteException e) {
+                        return e;
+                    }
+                });
+    }
+
+    private RouteExplanation explain(RouteQuery query) {
+        return (RouteExplanation) ask(query);
+    }
+
     private String error(RouteQuery query) {
-        return assertThrows(CompletionException.class, () -> harness.explain(query))
-                .getCause()
-                .getMessage();
+        return ((UnknownRouteException) ask(query)).getMessage();
+    }
+
+    /** Returns the chains or endpoints that requests were sent to, in order. */
+    private List<String> offered() {
+        return harness.events().stream()
+                .filter(TraceEvent.Offered.class::isInstance)
+                .map(TraceEvent.Offered.class::cast)
+                .map(e -> e.chain().isEmpty() ? e.endpoint() : e.chain())
+                .toList();
     }
 
     @Test
@@ -42,12 +65,12 @@
         harness.engine("e1", 0, 50, r -> stream(r));
         harness.engine("e2", 50, 80, r -> stream(r));
         harness.engine("e3", 0, 40, r -> stream(r));
-        RouteExplanation explained = harness.explain(query("/write/x", "ann"));
+        RouteExplanation explained = explain(query("/write/x", "ann"));
         assertThat(explained.decision(), equalTo("start"));
-        assertThat(harness.offered(), hasSize(0));
+        assertThat(offered(), hasSize(0));
         assertThat(harness.heldTokens(), equalTo(0.0));
         assertThat(harness.call("/write/x", Map.of()).status(), equalTo(200));
-        assertThat(harness.offered(), equalTo(List.of(explained.chosen())));
+        assertThat(offered(), equalTo(List.of(explained.chosen())));
         assertThat(
                 explained.passedOver(),
                 equalTo(List.of(new RouteExplanation.PassedOver("e3", "a", "others preferred"))));
@@ -57,16 +80,16 @@
     void aPlainRequestGetsTheEndpointThatWasExplained() {
         harness.service("p1", r -> RelayHarness.signed(r).end("found"));
         harness.service("p2", r -> RelayHarness.signed(r).end("found"));
-        RouteExplanation explained = harness.explain(query("/find/x", "ann"));
-        assertThat(harness.offered(), hasSize(0));
+        RouteExplanation explained = explain(query("/find/x", "ann"));
+        assertThat(offered(), hasSize(0));
         harness.call("/find/x", Map.of());
-        assertThat(harness.offered(), equalTo(List.of(explained.chosen())));
+        assertThat(offered(), equalTo(List.of(explained.chosen())));
     }
 
     @Test
     void aRequestThatNoEngineCanServeIsRefusedAsExplained() {
         harness.engine("e1", 0, 50, r -> stream(r));
-        RouteExplanation explained = harness.explain(query("/write/x", "ann"));
+        RouteExplanation explained = explain(query("/write/x", "ann"));
         assertThat(explained.decision(), equalTo("refuse"));
         var answer = harness.call("/write/x", Map.of());
         assertThat(answer.status(), equalTo(503));
--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -26,10 +26,7 @@
 import hyssopturn.relay.RelayContext;
 import hyssopturn.relay.RelaySettings;
 import hyssopturn.relay.RetryBudget;
-import hyssopturn.relay.RouteExplanation;
-import hyssopturn.relay.RouteQuery;
 import hyssopturn.relay.RoutingState;
-import hyssopturn.relay.UnknownRouteException;
 import hyssopturn.trace.TraceEvent;
 import hyssopturn.trace.TraceLog;
 
@@ -62,6 +59,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
 
@@ -227,24 +225,20 @@
 
     /** Returns the logged outcomes of requests, in the order in which they ended. */
     List<String> outcomes() {
-        synchronized (events) {
-            return events.stream()
-                    .filter(TraceEvent.Ended.class::isInstance)
-                    .map(e -> ((TraceEvent.Ended) e).outcome())
-                    .toList();
-        }
+        return events().stream()
+                .filter(TraceEvent.Ended.class::isInstance)
+                .map(e -> ((TraceEvent.Ended) e).outcome())
+                .toList();
     }
 
     /** Returns the logged states of an endpoint, in the order in which they began. */
     List<String> statesOf(String id) {
-        synchronized (events) {
-            return events.stream()
-                    .filter(TraceEvent.EndpointChanged.class::isInstance)
-                    .map(TraceEvent.EndpointChanged.class::cast)
-                    .filter(e -> e.endpoint().equals(id))
-                    .map(TraceEvent.EndpointChanged::state)
-                    .toList();
-        }
+        return events().stream()
+                .filter(TraceEvent.EndpointChanged.class::isInstance)
+                .map(TraceEvent.EndpointChanged.class::cast)
+                .filter(e -> e.endpoint().equals(id))
+                .map(TraceEvent.EndpointChanged::state)
+                .toList();
     }
 
     /** Ends the requests in progress as a node does whose process is about to exit. */
@@ -353,28 +347,17 @@
         return tokens.join();
     }
 
-    /** Asks the relay how it would route a request. */
-    RouteExplanation explain(RouteQuery query) {
-        CompletableFuture<RouteExplanation> explanation = new CompletableFuture<>();
-        vertx.runOnContext(
-                v -> {
-                    try {
-                        explanation.complete(relay.explain(query));
-                    } catch (UnknownRouteException e) {
-                        explanation.completeExceptionally(e);
-                    }
-                });
-        return explanation.join();
+    /** Computes something about the relay on its event loop. */
+    <T> T onRelay(Function<Relay, T> function) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        onLoop(() -> result.complete(function.apply(relay)));
+        return result.join();
     }
 
-    /** Returns the chains or endpoints that requests were sent to, in order. */
-    List<String> offered() {
+    /** Returns the events that were logged so far. */
+    List<TraceEvent> events() {
         synchronized (events) {
-            return events.stream()
-                    .filter(TraceEvent.Offered.class::isInstance)
-                    .map(TraceEvent.Offered.class::cast)
-                    .map(e -> e.chain().isEmpty() ? e.endpoint() : e.chain())
-                    .toList();
+            return List.copyOf(events);
         }
     }
 
