--- a/src/main/java/hyssopturn/chain/ZoneFlows.java
+++ b/src/main/java/hyssopturn/chain/ZoneFlows.java
@@ -92,7 +92,7 @@
             return !updated || nowNanos - updatedNanos >= INTERVAL.toNanos();
         }
 
-        private long steps(long nowNanos) {
+        private double steps(long nowNanos) {
             long steps = updated ? (nowNanos - updatedNanos) / INTERVAL.toNanos() : 1;
             return Math.min(MAX_STEPS, steps);
         }
@@ -111,7 +111,7 @@
             return copy;
         }
 
-        void approach(double wanted, long steps) {
+        void approach(double wanted, double steps) {
             mean += (wanted - mean) * (1 - Math.pow(1 - SMOOTHING, steps));
             if (mean < DEAD_BAND && wanted == 0) {
                 change(-part, steps);
@@ -120,7 +120,7 @@
             }
         }
 
-        private void change(double change, long steps) {
+        private void change(double change, double steps) {
             part += Math.clamp(change, -MAX_STEP * steps, MAX_STEP * steps);
         }
 
@@ -185,7 +185,7 @@
 
     private static void update(
             ServiceFlows known, String own, List<ZoneState> states, long nowNanos) {
-        long steps = known.steps(nowNanos);
+        double steps = known.steps(nowNanos);
         known.updated = true;
         known.updatedNanos = nowNanos;
         Optional<ZoneState> ownState =
--- a/src/test/java/hyssopturn/chain/FlowSimulation.java
+++ b/src/test/java/hyssopturn/chain/FlowSimulation.java
@@ -385,10 +385,7 @@
             double wanted = settings.demand.perSecond(zone.index, now);
             demand += wanted;
             served += Math.min(wanted, zone.capacity());
-            if (!cut(zone.index, zone.index == 2 ? 0 : 2)) {
-                excess += Math.max(0, wanted - zone.capacity());
-                room += Math.max(0, zone.capacity() - wanted);
-            } else if (zone.index != 2) {
+            if (zone.index != 2 || !cut(2, 0)) {
                 excess += Math.max(0, wanted - zone.capacity());
                 room += Math.max(0, zone.capacity() - wanted);
             }
@@ -459,7 +456,7 @@
         int direction = 0;
         double extreme = values.getFirst();
         for (double value : values) {
-            if (direction >= 0 && value > extreme || direction <= 0 && value < extreme) {
+            if ((direction >= 0 && value > extreme) || (direction <= 0 && value < extreme)) {
                 if (direction == 0 && Math.abs(value - extreme) <= least) {
                     continue;
                 }
