--- a/src/main/java/hyssopturn/chain/ChainSearch.java
+++ b/src/main/java/hyssopturn/chain/ChainSearch.java
@@ -165,8 +165,9 @@
     }
 
     /**
-     * Searches in the order of the choice. Zones of whose clients nothing is known follow, if they
-     * seem to have spare memory, and chains over several zones come last.
+     * Searches the zones with spare memory in the order of the choice, and those of whose clients
+     * nothing is known after them. If all are full, the own zone comes before chains over several
+     * zones.
      */
     private Optional<Label> searchInOrder(
             ZoneChoice chosen,
@@ -176,37 +177,19 @@
             Goal goal) {
         Map<String, List<Candidate>> unknown = new HashMap<>(zones);
         for (ZoneChoice.Way way : chosen.order(random.nextDouble())) {
-            Optional<Label> found =
-                    switch (way.reach()) {
-                        case ZoneChoice.Reach.Zone reached ->
-                                searchZone(unknown.remove(reached.name()), reached, start, goal);
-                        case ZoneChoice.Reach.Several several ->
-                                searchOtherZones(unknown, start, goal)
-                                        .or(
-                                                () ->
-                                                        search(
-                                                                withinNodeLimit(
-                                                                        candidates, goal.size),
-                                                                start,
-                                                                goal));
-                    };
-            if (found.isPresent()) {
-                return found;
+            if (way.reach() instanceof ZoneChoice.Reach.Zone zone) {
+                List<Candidate> engines = unknown.remove(zone.name());
+                Optional<Label> found =
+                        engines == null ? Optional.empty() : searchUnlessFull(engines, start, goal);
+                if (found.isPresent()) {
+                    return found;
+                }
             }
         }
-        return Optional.empty();
-    }
-
-    /** Searches a zone; a full one only as far as this node's maximum share allows. */
-    private Optional<Label> searchZone(
-            List<Candidate> engines, ZoneChoice.Reach.Zone zone, Label start, Goal goal) {
-        if (engines == null) {
-            return Optional.empty();
-        }
-        boolean own = zone.name().equals(goal.zone);
-        Optional<Label> unlessFull =
-                own ? searchUnlessFull(engines, start, goal) : Optional.empty();
-        return unlessFull.or(() -> search(withinNodeLimit(engines, goal.size), start, goal));
+        List<Candidate> own = zones.getOrDefault(goal.zone, List.of());
+        return searchOtherZones(unknown, start, goal)
+                .or(() -> search(withinNodeLimit(own, goal.size), start, goal))
+                .or(() -> search(withinNodeLimit(candidates, goal.size), start, goal));
     }
 
     /**
--- a/src/main/java/hyssopturn/overload/Room.java
+++ b/src/main/java/hyssopturn/overload/Room.java
@@ -25,7 +25,7 @@
      * Finds the layer with the least memory left.
      *
      * @param spec sizes of the engines
-     * @param engines engines of one zone that may be used
+     * @param engines engines that may be used
      * @param loads load of all nodes
      * @param ownTokens tokens of this node's own streams
      * @param nodes number of nodes that use the engines
--- a/src/main/java/hyssopturn/relay/StreamGate.java
+++ b/src/main/java/hyssopturn/relay/StreamGate.java
@@ -20,6 +20,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Applies admission control to the streams of a node: holds new streams while engines have no room,
@@ -95,31 +98,40 @@
                     known.capacity(), used, known.nodes(), known.shared(), known.ageNanos());
         }
 
+        /** Streams may be sent to any zone, so that the engines of all zones count. */
         private Room measure(long now) {
-            String zone = context.settings().zone();
-            List<Endpoint> engines =
-                    context.routingState().roster().usable(name, now).stream()
-                            .filter(e -> e.zone().equals(zone))
-                            .toList();
-            Optional<ZoneLoad> load = context.loads().zone(name, zone);
+            List<Endpoint> engines = context.routingState().roster().usable(name, now);
+            Set<String> zones =
+                    Stream.concat(
+                                    engines.stream().map(Endpoint::zone),
+                                    Stream.of(context.settings().zone()))
+                            .collect(Collectors.toSet());
+            List<ZoneLoad> loads =
+                    zones.stream().flatMap(z -> context.loads().zone(name, z).stream()).toList();
             return Room.thinnest(
                     spec,
                     engines,
                     context.loads(),
                     admission.ownTokens(),
-                    load.map(l -> nodes(l, now)).orElse(context.load().nodesPerZone()),
-                    load.map(l -> l.age().toNanos()).orElse(0L));
+                    loads.size() == zones.size()
+                            ? nodes(loads, now)
+                            : context.load().nodesPerZone() * zones.size(),
+                    loads.stream().mapToLong(l -> l.age().toNanos()).max().orElse(0));
         }
 
         /**
          * Returns the number of nodes of which this one is, by the streams that clients ask for.
          */
-        private double nodes(ZoneLoad load, long now) {
-            double zone =
-                    load.priorities().stream().mapToDouble(PriorityLoad::askedPerSecond).sum();
+        private double nodes(List<ZoneLoad> loads, long now) {
+            int nodes = loads.stream().mapToInt(ZoneLoad::nodes).sum();
+            double all =
+                    loads.stream()
+                            .flatMap(l -> l.priorities().stream())
+                            .mapToDouble(PriorityLoad::askedPerSecond)
+                            .sum();
             double seconds = ASKED_HALF_LIFE.toNanos() / NANOS_PER_SECOND / Math.log(2);
             double own = asked.value(now) / seconds;
-            return own <= 0 ? load.nodes() : Math.clamp(zone / own, 1, Math.max(1, load.nodes()));
+            return own <= 0 ? nodes : Math.clamp(all / own, 1, Math.max(1, nodes));
         }
     }
 
