--- a/src/main/java/hyssopturn/node/CallerBudget.java
+++ b/src/main/java/hyssopturn/node/CallerBudget.java
@@ -15,6 +15,9 @@
     /** Part of the descriptors for callers and for the requests that they have in progress. */
     private static final double REQUEST_SHARE = 0.8;
 
+    /** Descriptors that the node opens for itself after its start: servers, store, files. */
+    private static final int OWN_DESCRIPTORS = 16;
+
     /** Returns the maximum number of bytes. */
     long memoryBytes(long heapBytes) {
         return heapBytes / PERCENT * memoryPercent;
@@ -22,12 +25,16 @@
 
     /** Returns the maximum number of connections of a process. */
     int connections(long descriptors) {
-        long derived = Math.max(1, (long) (descriptors * DESCRIPTOR_SHARE));
+        long derived = Math.max(1, (long) (shared(descriptors) * DESCRIPTOR_SHARE));
         return connections > 0 ? connections : (int) Math.min(Integer.MAX_VALUE, derived);
     }
 
     /** Returns the maximum number of descriptors of callers and their requests. */
     int requests(long descriptors) {
-        return (int) Math.min(Integer.MAX_VALUE, Math.max(2, descriptors * REQUEST_SHARE));
+        return (int) Math.min(Integer.MAX_VALUE, Math.max(2, shared(descriptors) * REQUEST_SHARE));
+    }
+
+    private static long shared(long descriptors) {
+        return Math.max(0, descriptors - OWN_DESCRIPTORS);
     }
 }
--- a/src/main/java/hyssopturn/node/CallerConnection.java
+++ b/src/main/java/hyssopturn/node/CallerConnection.java
@@ -90,6 +90,7 @@
     private boolean decoding;
     private boolean messageSeen;
     private boolean ended;
+    private boolean undecoded;
     private boolean restRefused;
     private boolean paced;
     private boolean held;
@@ -452,7 +453,8 @@
     }
 
     private boolean mayDecodeWaiting() {
-        boolean some = restRefused || !heldMessages.isEmpty() || waiting.isReadable();
+        boolean some =
+                restRefused || undecoded || !heldMessages.isEmpty() || waiting.isReadable();
         return some && !answerDue && !ended;
     }
 
@@ -462,10 +464,12 @@
             return;
         }
         while (!answerDue && !ended && !heldMessages.isEmpty()) {
+            undecoded = true;
             readMessage(heldMessages.remove());
-            if (heldMessages.isEmpty() && !answerDue) {
-                bytesContext.fireChannelRead(Unpooled.EMPTY_BUFFER);
-            }
+        }
+        if (undecoded && !answerDue) {
+            undecoded = false;
+            bytesContext.fireChannelRead(Unpooled.EMPTY_BUFFER);
         }
         if (!answerDue && waiting.isReadable()) {
             ByteBuf bytes = waiting;
@@ -574,7 +578,7 @@
                 requestBytes = 0;
             }
             requestBytes += bytes.readableBytes();
-            if (answerDue || waiting.isReadable() || decoding) {
+            if (answerDue || undecoded || waiting.isReadable() || decoding) {
                 keep(bytes);
                 return;
             }
--- a/src/main/java/hyssopturn/node/CallerConnections.java
+++ b/src/main/java/hyssopturn/node/CallerConnections.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.util.AttributeKey;
@@ -40,7 +41,7 @@
     /** Minimum interval between looking through connections for memory. */
     private static final Duration RELIEF_INTERVAL = Duration.ofMillis(20);
 
-    /** Delay after which the descriptor of a closed connection has been released. */
+    /** Delay of a timer that runs as soon as possible, but not at once. */
     private static final long RELEASE_MILLIS = 1;
 
     /** Connections to endpoints that one request has at most, one for each attempt. */
@@ -159,14 +160,22 @@
         pauseIfFull(server);
     }
 
-    /** Uncounts a connection after the next selection, which releases its descriptor. */
+    /**
+     * Uncounts a connection after its descriptor has been released, which the next selection does.
+     * Timers that are due run between two selections, so the second timer runs after one.
+     */
     private void uncountLater(Channel channel, Channel server) {
-        if (channel.isRegistered() && !channel.eventLoop().isShuttingDown()) {
-            channel.eventLoop()
-                    .schedule(
-                            () -> uncount(server), RELEASE_MILLIS, TimeUnit.MILLISECONDS);
-        } else {
+        if (!channel.isRegistered()) {
             uncount(server);
+            return;
+        }
+        EventLoop loop = channel.eventLoop();
+        later(loop, () -> later(loop, () -> uncount(server)));
+    }
+
+    private static void later(EventLoop loop, Runnable task) {
+        if (!loop.isShuttingDown()) {
+            loop.schedule(task, RELEASE_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
