--- a/src/main/java/hyssopturn/node/CallerConnection.java
+++ b/src/main/java/hyssopturn/node/CallerConnection.java
@@ -79,6 +79,8 @@
     private final CallerTimeouts timeouts;
     private final HttpRequestDecoder decoder;
     private final ReadPacer pacer;
+    private final MemoryPart memory;
+    private final ReadSwitch reading = new ReadSwitch();
     private final UnsentBytes unsent = new UnsentBytes();
     private final ChunkMerger merger = new ChunkMerger();
     private final Queue<Object> heldMessages = new ArrayDeque<>();
@@ -93,8 +95,6 @@
     private boolean undecoded;
     private boolean restRefused;
     private boolean paced;
-    private boolean held;
-    private boolean readingStopped;
     private long bodyLeft;
     private long openLines;
     private long mixedLines;
@@ -102,7 +102,6 @@
     private long headCost;
     private long openCost;
     private long unsentCost;
-    private long countedBytes;
     private long requestBytes;
     private long requestBegunNanos;
     private long progressNanos;
@@ -128,6 +127,7 @@
         this.clock = clock;
         this.limits = limits;
         this.connections = connections;
+        memory = new MemoryPart(connections.memory());
         decoder = channel.pipeline().get(HttpRequestDecoder.class);
         pacer = new ReadPacer(clock, () -> paced = true, this::withinRate);
         progressNanos = clock.nanos();
@@ -181,7 +181,7 @@
         discardWaiting();
         // the decoder keeps its state until the events of the closed connection have been handled
         if (!channel.eventLoop().isShuttingDown()) {
-            channel.eventLoop().execute(this::releaseMemory);
+            channel.eventLoop().execute(memory::release);
         }
     }
 
@@ -198,11 +198,6 @@
         heldMessages.clear();
     }
 
-    private void releaseMemory() {
-        connections.memory().add(-countedBytes);
-        countedBytes = 0;
-    }
-
     private long occupied() {
         return CONNECTION_BYTES + headCost + openCost + unsentCost + waiting.capacity();
     }
@@ -210,20 +205,13 @@
     /** Counts the memory of this connection, which exists already. */
     private void occupy() {
         if (!ended) {
-            long change = occupied() - countedBytes;
-            countedBytes += change;
-            connections.memory().add(change);
+            memory.set(occupied());
         }
     }
 
     /** Counts the memory of this connection; returns false if it does not fit. */
     private boolean acquire() {
-        long change = occupied() - countedBytes;
-        if (ended || !connections.memory().acquire(change)) {
-            return false;
-        }
-        countedBytes += change;
-        return true;
+        return !ended && memory.acquire(occupied());
     }
 
     /** Returns what the connection waits for. */
@@ -267,7 +255,7 @@
         } else {
             close();
         }
-        return countedBytes;
+        return memory.bytes();
     }
 
     @Override
@@ -299,34 +287,14 @@
         return unsent.count(bytesContext);
     }
 
-    /** Stops reading; Vert.x may ask for it meanwhile, or stop it for reasons of its own. */
-    private void holdReading() {
-        if (held) {
-            return;
-        }
-        held = true;
-        if (channel.config().isAutoRead()) {
-            readingStopped = true;
-            channel.config().setAutoRead(false);
-        }
-    }
-
     private void withinRate() {
         paced = false;
         readOn();
     }
 
     private void readOn() {
-        if (!held || paced || waiting.readableBytes() >= MAX_WAITING_BYTES) {
-            return;
-        }
-        held = false;
-        boolean stopped = readingStopped;
-        readingStopped = false;
-        if (channel.config().isAutoRead()) {
-            bytesContext.read();
-        } else if (stopped) {
-            channel.config().setAutoRead(true);
+        if (!paced && waiting.readableBytes() < MAX_WAITING_BYTES) {
+            reading.resume(bytesContext);
         }
     }
 
@@ -364,7 +332,7 @@
             return;
         }
         int size = Math.min(bytes.readableBytes(), SLICE_BYTES);
-        int lines = lines(bytes, size);
+        int lines = Pieces.lines(bytes, size);
         openLines += lines;
         openBytes += size;
         if (!acquireOpen()) {
@@ -372,7 +340,7 @@
             return;
         }
         messageSeen = false;
-        bytesContext.fireChannelRead(piece(bytes, size));
+        bytesContext.fireChannelRead(Pieces.take(bytes, size));
         if (!ended) {
             pieceDecoded(lines, size);
         }
@@ -414,28 +382,6 @@
         }
     }
 
-    /** Takes bytes; a small part of a large buffer is copied, since the decoder may keep it. */
-    private static ByteBuf piece(ByteBuf bytes, int size) {
-        if (bytes.capacity() <= FIRST_READ_BYTES) {
-            return bytes.readRetainedSlice(size);
-        }
-        ByteBuf copy = Unpooled.buffer(size);
-        bytes.readBytes(copy, size);
-        return copy;
-    }
-
-    private static int lines(ByteBuf bytes, int size) {
-        int lines = 0;
-        int start = bytes.readerIndex();
-        int end = start + size;
-        int next = bytes.indexOf(start, end, (byte) '\n');
-        while (next >= 0) {
-            lines++;
-            next = bytes.indexOf(next + 1, end, (byte) '\n');
-        }
-        return lines;
-    }
-
     /** Goes on with what follows requests whose answers have been sent. */
     private void decodeWaiting() {
         if (decoding) {
@@ -453,8 +399,7 @@
     }
 
     private boolean mayDecodeWaiting() {
-        boolean some =
-                restRefused || undecoded || !heldMessages.isEmpty() || waiting.isReadable();
+        boolean some = restRefused || undecoded || !heldMessages.isEmpty() || waiting.isReadable();
         return some && !answerDue && !ended;
     }
 
@@ -597,13 +542,13 @@
                 decodeWaiting();
             }
             if (paced || waiting.readableBytes() >= MAX_WAITING_BYTES) {
-                holdReading();
+                reading.stop(context);
             }
         }
 
         @Override
         public void read(ChannelHandlerContext context) {
-            if (!held) {
+            if (!reading.stopped()) {
                 context.read();
             }
         }
--- a/src/main/java/hyssopturn/node/CallerConnections.java
+++ b/src/main/java/hyssopturn/node/CallerConnections.java
@@ -107,7 +107,9 @@
         channel.closeFuture().addListener(closed -> open.remove(connection));
     }
 
-    /** Makes the server accept one connection at a time, so that each is counted before the next. */
+    /**
+     * Makes the server accept one connection at a time, so that each is counted before the next.
+     */
     private static RecvByteBufAllocator oneByOne() {
         return new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(1);
     }
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -130,9 +130,7 @@
                 HttpClients.withoutKeepAlive(
                         vertx, ENDPOINT_CONNECTIONS, settings.connectTimeout());
         AnswerMemory answerMemory = answerMemory();
-        CallerMemory callerMemory =
-                new CallerMemory(
-                        settings.callers().memoryBytes(Runtime.getRuntime().maxMemory()));
+        CallerMemory callerMemory = callerMemory(settings.callers());
         BodyMemory bodyMemory = bodyMemory(callerMemory);
         limitSocket = new LimitSocket(vertx);
         limits = limits(random);
@@ -179,15 +177,11 @@
                         adapter.engines(),
                         bodyMemory);
         servers = new CallerServers(vertx, clock, meters);
-        long descriptors = DescriptorLimit.available();
-        CallerConnections connections =
-                new CallerConnections(
-                        clock,
-                        callerMemory,
-                        settings.callers().connections(descriptors),
-                        settings.callers().requests(descriptors),
-                        meters);
-        callers = servers.forCallers(relay::handle, knowledge::callerLimits, connections);
+        callers =
+                servers.forCallers(
+                        relay::handle,
+                        knowledge::callerLimits,
+                        connections(settings.callers(), callerMemory));
         config = configFollower(adapter);
         endpoints = endpointFollower(adapter);
         faults =
@@ -218,6 +212,20 @@
         return memory;
     }
 
+    private static CallerMemory callerMemory(CallerBudget budget) {
+        return new CallerMemory(budget.memoryBytes(Runtime.getRuntime().maxMemory()));
+    }
+
+    private CallerConnections connections(CallerBudget budget, CallerMemory callerMemory) {
+        long descriptors = DescriptorLimit.available();
+        return new CallerConnections(
+                clock,
+                callerMemory,
+                budget.connections(descriptors),
+                budget.requests(descriptors),
+                meters);
+    }
+
     private BodyMemory bodyMemory(CallerMemory callerMemory) {
         BodyMemory memory =
                 new BodyMemory(Runtime.getRuntime().maxMemory() / BODY_HEAP_DIVISOR, callerMemory);
--- a/src/test/java/hyssopturn/platform/PipelinedRequestsTest.java
+++ b/src/test/java/hyssopturn/platform/PipelinedRequestsTest.java
@@ -10,7 +10,9 @@
 
 import java.io.IOException;
 
-/** Requests within the limits that are sent in unusual ways are served, each with its own answer. */
+/**
+ * Requests within the limits that are sent in unusual ways are served, each with its own answer.
+ */
 class PipelinedRequestsTest {
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
@@ -86,7 +88,8 @@
     @Test
     void aBodyInOneByteChunksWithExtensionsAndTrailersIsWhole() throws IOException {
         try (KeptConnection caller = connect()) {
-            String head = caller.request("POST", "/look/x", "", "").replace("Content-Length: 0", "");
+            String head =
+                    caller.request("POST", "/look/x", "", "").replace("Content-Length: 0", "");
             caller.sendRaw(
                     head.stripTrailing()
                             + "\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/src/test/java/hyssopturn/platform/TestNodes.java
+++ b/src/test/java/hyssopturn/platform/TestNodes.java
@@ -42,7 +42,15 @@
     static RelayNodeSettings own() {
         Duration never = Duration.ofMinutes(1);
         return new RelayNodeSettings(
-                Duration.ofMillis(300), never, never, never, never, Duration.ofSeconds(1), 1, 100, new CallerBudget(25, 0));
+                Duration.ofMillis(300),
+                never,
+                never,
+                never,
+                never,
+                Duration.ofSeconds(1),
+                1,
+                100,
+                new CallerBudget(25, 0));
     }
 
     /** Returns an address that is free for TCP and UDP; a port that is free for one may not be. */
