--- a/src/main/java/hyssopturn/node/CallerConnection.java
+++ b/src/main/java/hyssopturn/node/CallerConnection.java
@@ -23,7 +23,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Queue;
 import java.util.function.Supplier;
@@ -67,10 +66,6 @@
     private static final long NANOS_PER_SECOND = 1_000_000_000;
 
     private static final String VERTX_HANDLER = "handler";
-    private static final byte[] TIMEOUT = answer("408 Request Timeout", "");
-    private static final byte[] TOO_LARGE = answer("431 Request Header Fields Too Large", "");
-    private static final byte[] UNAVAILABLE =
-            answer("503 Service Unavailable", "Retry-After: 1\r\n");
 
     private final Channel channel;
     private final Clock clock;
@@ -106,18 +101,6 @@
     private long requestBegunNanos;
     private long progressNanos;
 
-    /** What a connection waits for. */
-    enum State {
-        /** A request that was read completely is being answered. */
-        BUSY,
-        /** A complete answer has not been read by its caller. */
-        UNREAD,
-        /** A part of a request has arrived. */
-        INCOMPLETE,
-        /** Nothing has arrived since the last answer. */
-        IDLE
-    }
-
     private CallerConnection(
             Channel channel,
             Clock clock,
@@ -134,13 +117,6 @@
         timeouts = new CallerTimeouts(clock, limits, this);
     }
 
-    private static byte[] answer(String status, String headers) {
-        String head =
-                "HTTP/1.1 %s\r\n%sConnection: close\r\nContent-Length: 0\r\n\r\n"
-                        .formatted(status, headers);
-        return head.getBytes(StandardCharsets.ISO_8859_1);
-    }
-
     /**
      * Watches a new connection.
      *
@@ -215,14 +191,14 @@
     }
 
     /** Returns what the connection waits for. */
-    State state() {
+    CallerState state() {
         if (timeouts.answerAwaited()) {
-            return State.BUSY;
+            return CallerState.BUSY;
         }
         if (timeouts.requestIncomplete()) {
-            return State.INCOMPLETE;
+            return CallerState.INCOMPLETE;
         }
-        return timeouts.requestOpen() ? State.UNREAD : State.IDLE;
+        return timeouts.requestOpen() ? CallerState.UNREAD : CallerState.IDLE;
     }
 
     /** Returns for how long the caller is idle, or later than a slow one would be. */
@@ -250,8 +226,8 @@
             return 0;
         }
         connections.closedFor(cause);
-        if (state() == State.INCOMPLETE && unsent.isEmpty() && !timeouts.bodyAnswered()) {
-            end(TIMEOUT);
+        if (state() == CallerState.INCOMPLETE && unsent.isEmpty() && !timeouts.bodyAnswered()) {
+            end(RawAnswer.TIMEOUT);
         } else {
             close();
         }
@@ -266,20 +242,18 @@
 
     @Override
     public void answerHeadTimeout() {
-        end(TIMEOUT);
+        end(RawAnswer.TIMEOUT);
     }
 
-    private void refuse(byte[] answer, String cause) {
+    private void refuse(RawAnswer answer, String cause) {
         connections.closedFor(cause);
         end(answer);
     }
 
     /** Sends an answer that promises that the request has not run, and closes the connection. */
-    private void end(byte[] answer) {
+    private void end(RawAnswer answer) {
         ended = true;
-        bytesContext
-                .writeAndFlush(Unpooled.wrappedBuffer(answer))
-                .addListener(ChannelFutureListener.CLOSE);
+        bytesContext.writeAndFlush(answer.bytes()).addListener(ChannelFutureListener.CLOSE);
     }
 
     @Override
@@ -336,7 +310,7 @@
         openLines += lines;
         openBytes += size;
         if (!acquireOpen()) {
-            refuseOpen(UNAVAILABLE, "memory");
+            refuseOpen(RawAnswer.UNAVAILABLE, "memory");
             return;
         }
         messageSeen = false;
@@ -365,12 +339,12 @@
             openCost = openBytes * HEAD_COPIES + mixedLines * LINE_BYTES;
             occupy();
         } else if (openLines * COUNTED_LINE_BYTES > limits.get().headerBytes()) {
-            refuseOpen(TOO_LARGE, "lines");
+            refuseOpen(RawAnswer.TOO_LARGE, "lines");
         }
     }
 
     /** Refuses an incomplete request, which may have its answer already. */
-    private void refuseOpen(byte[] answer, String cause) {
+    private void refuseOpen(RawAnswer answer, String cause) {
         if (ended) {
             return;
         }
@@ -405,7 +379,7 @@
 
     private void decodeNext() {
         if (restRefused) {
-            refuse(UNAVAILABLE, "memory");
+            refuse(RawAnswer.UNAVAILABLE, "memory");
             return;
         }
         while (!answerDue && !ended && !heldMessages.isEmpty()) {
@@ -452,11 +426,11 @@
         headCost = openBytes * HEAD_COPIES + request.headers().size() * LINE_BYTES;
         openCost = 0;
         if (!acquire()) {
-            refuse(UNAVAILABLE, "memory");
+            refuse(RawAnswer.UNAVAILABLE, "memory");
             return false;
         }
         if (!connections.beginRequest()) {
-            refuse(UNAVAILABLE, "requests");
+            refuse(RawAnswer.UNAVAILABLE, "requests");
             return false;
         }
         requestCounted = true;
--- a/src/main/java/hyssopturn/node/CallerConnections.java
+++ b/src/main/java/hyssopturn/node/CallerConnections.java
@@ -223,7 +223,7 @@
         }
         closedLateNanos = now;
         Comparator<CallerConnection> idleFirst =
-                Comparator.comparing(c -> c.state() != CallerConnection.State.IDLE);
+                Comparator.comparing(c -> c.state() != CallerState.IDLE);
         late(MIN_LAG).stream()
                 .sorted(idleFirst.thenComparing(this::lag, Comparator.reverseOrder()))
                 .limit(Math.max(1, limit / CLOSED_DIVISOR))
@@ -248,19 +248,19 @@
 
     private List<CallerConnection> late(Duration least) {
         return open.stream()
-                .filter(c -> c.state() != CallerConnection.State.BUSY)
+                .filter(c -> c.state() != CallerState.BUSY)
                 .filter(c -> lag(c) >= least.toNanos())
                 .toList();
     }
 
     private List<CallerConnection> unread() {
-        return open.stream().filter(c -> c.state() == CallerConnection.State.UNREAD).toList();
+        return open.stream().filter(c -> c.state() == CallerState.UNREAD).toList();
     }
 
     /** Closes slow connections and then idle ones, the latest first, until memory is left. */
     private void closeForMemory(List<CallerConnection> connections, double left) {
         Comparator<CallerConnection> slowFirst =
-                Comparator.comparing(c -> c.state() == CallerConnection.State.IDLE);
+                Comparator.comparing(c -> c.state() == CallerState.IDLE);
         List<CallerConnection> order =
                 connections.stream()
                         .sorted(slowFirst.thenComparing(this::lag, Comparator.reverseOrder()))
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -131,7 +131,6 @@
                         vertx, ENDPOINT_CONNECTIONS, settings.connectTimeout());
         AnswerMemory answerMemory = answerMemory();
         CallerMemory callerMemory = callerMemory(settings.callers());
-        BodyMemory bodyMemory = bodyMemory(callerMemory);
         limitSocket = new LimitSocket(vertx);
         limits = limits(random);
         EndpointNotices notices =
@@ -175,7 +174,7 @@
                                 meters,
                                 relaySettings(settings)),
                         adapter.engines(),
-                        bodyMemory);
+                        bodyMemory(callerMemory));
         servers = new CallerServers(vertx, clock, meters);
         callers =
                 servers.forCallers(
