--- a/src/main/java/hyssopturn/node/CallerConnection.java
+++ b/src/main/java/hyssopturn/node/CallerConnection.java
@@ -2,45 +2,118 @@
 
 import hyssopturn.catalog.CallerLimits;
 import hyssopturn.port.Clock;
+import hyssopturn.relay.ReadPacer;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 
-import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Queue;
 import java.util.function.Supplier;
 
 /**
- * Applies the timeouts of a caller's connection.
+ * Applies the timeouts and the memory limits of a caller's connection.
  *
  * <p>Vert.x fixes the idle timeout of a server when it starts to listen, and reports no request
  * before its head is complete. So the connection is watched in Netty's pipeline: its bytes before
  * they are decoded, and the messages between codec and Vert.x.
+ *
+ * <p>A request that follows another one on the connection is decoded no further than its first
+ * message until the answer to the first one has been sent.
  */
 final class CallerConnection implements CallerTimeouts.Connection {
+    /** Memory of a connection on which nothing happens, in bytes. */
+    private static final long CONNECTION_BYTES = 8_192;
+
+    /** Memory of a header line besides its bytes. */
+    private static final long LINE_BYTES = 200;
+
+    /** Copies of the bytes of a head: as they are read and as strings. */
+    private static final long HEAD_COPIES = 2;
+
+    /** What the limit of the configuration counts for a header line at least, in bytes. */
+    private static final long COUNTED_LINE_BYTES = 4;
+
+    /** Bytes of a head or chunk that are decoded before their memory is counted. */
+    private static final int SLICE_BYTES = 2_048;
+
+    /** Size of requests behind an unanswered one from which no more is read, in bytes. */
+    private static final int MAX_WAITING_BYTES = 8_192;
+
+    private static final int MIN_READ_BYTES = 512;
+    private static final int FIRST_READ_BYTES = 2_048;
+    private static final int MAX_READ_BYTES = 32_768;
+
+    /** Rate below which a caller that sends a request counts as late, in bytes per second. */
+    private static final long SLOW_BYTES_PER_SECOND = 4_096;
+
+    private static final long NANOS_PER_SECOND = 1_000_000_000;
+
     private static final String VERTX_HANDLER = "handler";
-    private static final byte[] HEAD_TIMEOUT =
-            "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-                    .getBytes(StandardCharsets.ISO_8859_1);
 
     private final Channel channel;
+    private final Clock clock;
+    private final Supplier<CallerLimits> limits;
+    private final CallerConnections connections;
     private final CallerTimeouts timeouts;
+    private final HttpRequestDecoder decoder;
+    private final ReadPacer pacer;
+    private final MemoryPart memory;
+    private final ReadSwitch reading = new ReadSwitch();
+    private final UnsentBytes unsent = new UnsentBytes();
+    private final ChunkMerger merger = new ChunkMerger();
+    private final Queue<Object> heldMessages = new ArrayDeque<>();
+    private ChannelHandlerContext bytesContext;
+    private ChannelHandlerContext messageContext;
+    private ByteBuf waiting = Unpooled.EMPTY_BUFFER;
+    private boolean requestCounted;
+    private boolean answerDue;
+    private boolean decoding;
+    private boolean messageSeen;
     private boolean ended;
+    private boolean undecoded;
+    private boolean restRefused;
+    private boolean paced;
+    private long bodyLeft;
+    private long openLines;
+    private long mixedLines;
+    private long openBytes;
+    private long headCost;
+    private long openCost;
+    private long unsentCost;
+    private long requestBytes;
+    private long requestBegunNanos;
+    private long progressNanos;
 
-    private CallerConnection(Channel channel, Clock clock, Supplier<CallerLimits> limits) {
+    private CallerConnection(
+            Channel channel,
+            Clock clock,
+            Supplier<CallerLimits> limits,
+            CallerConnections connections) {
         this.channel = channel;
+        this.clock = clock;
+        this.limits = limits;
+        this.connections = connections;
+        memory = new MemoryPart(connections.memory());
+        decoder = channel.pipeline().get(HttpRequestDecoder.class);
+        pacer = new ReadPacer(clock, () -> paced = true, this::withinRate);
+        progressNanos = clock.nanos();
         timeouts = new CallerTimeouts(clock, limits, this);
     }
 
@@ -50,13 +123,115 @@
      * @param channel channel of the connection, whose pipeline is complete
      * @param clock clock and timer of the channel's event loop
      * @param limits returns the limits in force
+     * @param connections all connections of callers
      */
-    static void watch(Channel channel, Clock clock, Supplier<CallerLimits> limits) {
-        CallerConnection connection = new CallerConnection(channel, clock, limits);
+    static void watch(
+            Channel channel,
+            Clock clock,
+            Supplier<CallerLimits> limits,
+            CallerConnections connections) {
+        CallerConnection connection = new CallerConnection(channel, clock, limits, connections);
         ChannelPipeline pipeline = channel.pipeline();
         pipeline.addFirst(connection.new ByteHandler());
         pipeline.addBefore(VERTX_HANDLER, null, connection.new MessageHandler());
-        channel.closeFuture().addListener(closed -> connection.timeouts.closed());
+        connection.bytesContext = pipeline.firstContext();
+        connection.messageContext = pipeline.context(MessageHandler.class);
+        channel.config()
+                .setRecvByteBufAllocator(
+                        new AdaptiveRecvByteBufAllocator(
+                                        MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
+                                .maxMessagesPerRead(1))
+                .setWriteBufferWaterMark(
+                        new WriteBufferWaterMark(UnsentBytes.LOW_BYTES, UnsentBytes.HIGH_BYTES));
+        connections.add(connection, channel);
+        channel.closeFuture().addListener(closed -> connection.closed());
+        connection.occupy();
+    }
+
+    private void closed() {
+        timeouts.closed();
+        ended = true;
+        uncountRequest();
+        unsent.discard();
+        merger.discard();
+        discardWaiting();
+        // the decoder keeps its state until the events of the closed connection have been handled
+        if (!channel.eventLoop().isShuttingDown()) {
+            channel.eventLoop().execute(memory::release);
+        }
+    }
+
+    private void uncountRequest() {
+        if (requestCounted) {
+            requestCounted = false;
+            connections.endRequest();
+        }
+    }
+
+    private void discardWaiting() {
+        waiting = Unpooled.EMPTY_BUFFER;
+        heldMessages.forEach(ReferenceCountUtil::release);
+        heldMessages.clear();
+    }
+
+    private long occupied() {
+        return CONNECTION_BYTES + headCost + openCost + unsentCost + waiting.capacity();
+    }
+
+    /** Counts the memory of this connection, which exists already. */
+    private void occupy() {
+        if (!ended) {
+            memory.set(occupied());
+        }
+    }
+
+    /** Counts the memory of this connection; returns false if it does not fit. */
+    private boolean acquire() {
+        return !ended && memory.acquire(occupied());
+    }
+
+    /** Returns what the connection waits for. */
+    CallerState state() {
+        if (timeouts.answerAwaited()) {
+            return CallerState.BUSY;
+        }
+        if (timeouts.requestIncomplete()) {
+            return CallerState.INCOMPLETE;
+        }
+        return timeouts.requestOpen() ? CallerState.UNREAD : CallerState.IDLE;
+    }
+
+    /** Returns for how long the caller is idle, or later than a slow one would be. */
+    long lagNanos(long now) {
+        return switch (state()) {
+            case BUSY -> 0;
+            case UNREAD -> now - progressNanos;
+            case IDLE -> now - timeouts.silentSinceNanos();
+            case INCOMPLETE ->
+                    Math.max(
+                            now - timeouts.silentSinceNanos(),
+                            now
+                                    - requestBegunNanos
+                                    - requestBytes * NANOS_PER_SECOND / SLOW_BYTES_PER_SECOND);
+        };
+    }
+
+    /**
+     * Closes the connection, on which no request is run, so that others are served.
+     *
+     * @return number of bytes that are released soon
+     */
+    long closeForOthers(String cause) {
+        if (ended) {
+            return 0;
+        }
+        connections.closedFor(cause);
+        if (state() == CallerState.INCOMPLETE && unsent.isEmpty() && !timeouts.bodyAnswered()) {
+            end(RawAnswer.TIMEOUT);
+        } else {
+            close();
+        }
+        return memory.bytes();
     }
 
     @Override
@@ -67,37 +242,312 @@
 
     @Override
     public void answerHeadTimeout() {
+        end(RawAnswer.TIMEOUT);
+    }
+
+    private void refuse(RawAnswer answer, String cause) {
+        connections.closedFor(cause);
+        end(answer);
+    }
+
+    /** Sends an answer that promises that the request has not run, and closes the connection. */
+    private void end(RawAnswer answer) {
         ended = true;
-        channel.pipeline()
-                .firstContext()
-                .writeAndFlush(Unpooled.wrappedBuffer(HEAD_TIMEOUT))
-                .addListener(ChannelFutureListener.CLOSE);
+        bytesContext.writeAndFlush(answer.bytes()).addListener(ChannelFutureListener.CLOSE);
     }
 
     @Override
     public long unsentBytes() {
-        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
-        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+        return unsent.count(bytesContext);
+    }
+
+    private void withinRate() {
+        paced = false;
+        readOn();
+    }
+
+    private void readOn() {
+        if (!paced && waiting.readableBytes() < MAX_WAITING_BYTES) {
+            reading.resume(bytesContext);
+        }
+    }
+
+    /** Keeps bytes that follow a request without an answer. */
+    private void keep(ByteBuf bytes) {
+        if (restRefused) {
+            return;
+        }
+        if (!waiting.isReadable()) {
+            waiting = Unpooled.buffer(bytes.readableBytes());
+        }
+        waiting.writeBytes(bytes);
+        if (!acquire()) {
+            restRefused = true;
+            discardWaiting();
+        }
+    }
+
+    /** Decodes bytes until a request is complete that has no answer yet, and keeps the others. */
+    private void decode(ByteBuf bytes) {
+        while (bytes.isReadable() && !ended) {
+            if (answerDue) {
+                keep(bytes);
+                return;
+            }
+            decodePiece(bytes);
+        }
+    }
+
+    private void decodePiece(ByteBuf bytes) {
+        if (bodyLeft > 0) {
+            int size = (int) Math.min(bytes.readableBytes(), bodyLeft);
+            bytesContext.fireChannelRead(bytes.readRetainedSlice(size));
+            openBytes = 0;
+            return;
+        }
+        int size = Math.min(bytes.readableBytes(), SLICE_BYTES);
+        int lines = Pieces.lines(bytes, size);
+        openLines += lines;
+        openBytes += size;
+        if (!acquireOpen()) {
+            refuseOpen(RawAnswer.UNAVAILABLE, "memory");
+            return;
+        }
+        messageSeen = false;
+        bytesContext.fireChannelRead(Pieces.take(bytes, size));
+        if (!ended) {
+            pieceDecoded(lines, size);
+        }
+    }
+
+    /** Counts the memory of what is decoded next, since the decoder keeps what is incomplete. */
+    private boolean acquireOpen() {
+        openCost = openBytes * HEAD_COPIES + (openLines + mixedLines) * LINE_BYTES;
+        return acquire();
+    }
+
+    /**
+     * Bounds the lines of a head or trailer section that is incomplete. Bytes that completed a
+     * message may hold the beginning of the next one, so they count until they are followed by
+     * another one.
+     */
+    private void pieceDecoded(int lines, int size) {
+        if (messageSeen) {
+            openLines = 0;
+            mixedLines = lines;
+            openBytes = size;
+            openCost = openBytes * HEAD_COPIES + mixedLines * LINE_BYTES;
+            occupy();
+        } else if (openLines * COUNTED_LINE_BYTES > limits.get().headerBytes()) {
+            refuseOpen(RawAnswer.TOO_LARGE, "lines");
+        }
+    }
+
+    /** Refuses an incomplete request, which may have its answer already. */
+    private void refuseOpen(RawAnswer answer, String cause) {
+        if (ended) {
+            return;
+        }
+        if (timeouts.bodyAnswered()) {
+            connections.closedFor(cause);
+            close();
+        } else {
+            refuse(answer, cause);
+        }
+    }
+
+    /** Goes on with what follows requests whose answers have been sent. */
+    private void decodeWaiting() {
+        if (decoding) {
+            return;
+        }
+        decoding = true;
+        while (mayDecodeWaiting()) {
+            decodeNext();
+            bytesContext.fireChannelReadComplete();
+        }
+        decoding = false;
+        if (!ended) {
+            readOn();
+        }
+    }
+
+    private boolean mayDecodeWaiting() {
+        boolean some = restRefused || undecoded || !heldMessages.isEmpty() || waiting.isReadable();
+        return some && !answerDue && !ended;
+    }
+
+    private void decodeNext() {
+        if (restRefused) {
+            refuse(RawAnswer.UNAVAILABLE, "memory");
+            return;
+        }
+        while (!answerDue && !ended && !heldMessages.isEmpty()) {
+            undecoded = true;
+            readMessage(heldMessages.remove());
+        }
+        if (undecoded && !answerDue) {
+            undecoded = false;
+            bytesContext.fireChannelRead(Unpooled.EMPTY_BUFFER);
+        }
+        if (!answerDue && waiting.isReadable()) {
+            ByteBuf bytes = waiting;
+            waiting = Unpooled.EMPTY_BUFFER;
+            decode(bytes);
+            occupy();
+        }
+    }
+
+    /** Passes a message of the caller on, if it may be. */
+    private void readMessage(Object message) {
+        messageSeen = true;
+        if (ended) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
+        if (message instanceof HttpRequest request && !beginRequest(request)) {
+            return;
+        }
+        if (message instanceof LastHttpContent last) {
+            endRequest(last);
+        } else if (message instanceof HttpContent chunk) {
+            int size = chunk.content().readableBytes();
+            bodyLeft = Math.max(0, bodyLeft - size);
+            pacer.read(1, size);
+            merger.read(messageContext, chunk);
+        } else {
+            messageContext.fireChannelRead(message);
+        }
+    }
+
+    /** Counts the memory of a head; returns false if the request is refused. */
+    private boolean beginRequest(HttpRequest request) {
+        timeouts.headCompleted();
+        headCost = openBytes * HEAD_COPIES + request.headers().size() * LINE_BYTES;
+        openCost = 0;
+        if (!acquire()) {
+            refuse(RawAnswer.UNAVAILABLE, "memory");
+            return false;
+        }
+        if (!connections.beginRequest()) {
+            refuse(RawAnswer.UNAVAILABLE, "requests");
+            return false;
+        }
+        requestCounted = true;
+        boolean announced =
+                request.decoderResult().isSuccess() && !HttpUtil.isTransferEncodingChunked(request);
+        bodyLeft = announced ? HttpUtil.getContentLength(request, 0L) : 0;
+        return true;
+    }
+
+    private void endRequest(LastHttpContent last) {
+        merger.flush(messageContext);
+        timeouts.bodyCompleted();
+        bodyLeft = 0;
+        if (timeouts.requestOpen()) {
+            answerDue = true;
+            decoder.setSingleDecode(true);
+        } else {
+            headCost = 0;
+        }
+        messageContext.fireChannelRead(last);
+    }
+
+    private void answerSent(boolean success) {
+        timeouts.answerSent();
+        if (!success || timeouts.requestOpen()) {
+            return;
+        }
+        unsentCost = 0;
+        uncountRequest();
+        if (answerDue) {
+            headCost = 0;
+            answerDue = false;
+            decoder.setSingleDecode(false);
+        }
+        occupy();
+        if (mayDecodeWaiting()) {
+            decodeWaiting();
+        }
     }
 
     /** Sees the bytes that arrive, and drops them once the connection is being closed. */
-    private final class ByteHandler extends ChannelInboundHandlerAdapter {
+    private final class ByteHandler extends ChannelDuplexHandler {
         @Override
-        public void channelRead(ChannelHandlerContext context, Object bytes) {
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (!(message instanceof ByteBuf bytes)) {
+                context.fireChannelRead(message);
+                return;
+            }
+            try {
+                read(bytes);
+            } finally {
+                bytes.release();
+            }
+        }
+
+        private void read(ByteBuf bytes) {
             if (ended) {
-                ReferenceCountUtil.release(bytes);
                 return;
             }
-            if (bytes instanceof ByteBuf) {
-                timeouts.bytesRead();
+            boolean begun = timeouts.requestIncomplete();
+            timeouts.bytesRead();
+            if (!begun) {
+                requestBegunNanos = timeouts.silentSinceNanos();
+                requestBytes = 0;
             }
-            context.fireChannelRead(bytes);
+            requestBytes += bytes.readableBytes();
+            if (answerDue || undecoded || waiting.isReadable() || decoding) {
+                keep(bytes);
+                return;
+            }
+            decoding = true;
+            decode(bytes);
+            decoding = false;
         }
 
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
+            decoding = true;
             context.fireChannelReadComplete();
+            decoding = false;
             timeouts.readCompleted();
+            if (mayDecodeWaiting()) {
+                decodeWaiting();
+            }
+            if (paced || waiting.readableBytes() >= MAX_WAITING_BYTES) {
+                reading.stop(context);
+            }
+        }
+
+        @Override
+        public void read(ChannelHandlerContext context) {
+            if (!reading.stopped()) {
+                context.read();
+            }
+        }
+
+        @Override
+        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+            unsent.write(context, message, promise);
+        }
+
+        @Override
+        public void flush(ChannelHandlerContext context) {
+            unsent.drain(context);
+            context.flush();
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            if (context.channel().isWritable()) {
+                progressNanos = clock.nanos();
+                if (!unsent.isEmpty()) {
+                    unsent.drain(context);
+                    context.flush();
+                }
+            }
+            context.fireChannelWritabilityChanged();
         }
     }
 
@@ -105,13 +555,18 @@
     private final class MessageHandler extends ChannelDuplexHandler {
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            if (message instanceof HttpRequest) {
-                timeouts.headCompleted();
+            if (answerDue) {
+                messageSeen = true;
+                heldMessages.add(message);
+            } else {
+                readMessage(message);
             }
-            if (message instanceof LastHttpContent) {
-                timeouts.bodyCompleted();
-            }
-            context.fireChannelRead(message);
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            merger.flush(context);
+            context.fireChannelReadComplete();
         }
 
         @Override
@@ -122,8 +577,11 @@
             }
             ChannelPromise sent = promise.unvoid();
             timeouts.answerWritten();
-            sent.addListener(done -> timeouts.answerSent());
+            progressNanos = clock.nanos();
+            sent.addListener(done -> answerSent(done.isSuccess()));
             context.write(message, sent);
+            unsentCost = unsentBytes();
+            occupy();
         }
     }
 
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -13,6 +13,7 @@
 import hyssopturn.quarantine.PromptQuarantine;
 import hyssopturn.relay.AnswerMemory;
 import hyssopturn.relay.BodyMemory;
+import hyssopturn.relay.CallerMemory;
 import hyssopturn.relay.EndpointNotices;
 import hyssopturn.relay.LoopLag;
 import hyssopturn.relay.Relay;
@@ -109,7 +110,7 @@
                 HttpClients.withoutKeepAlive(
                         vertx, ENDPOINT_CONNECTIONS, settings.connectTimeout());
         AnswerMemory answerMemory = answerMemory();
-        BodyMemory bodyMemory = bodyMemory();
+        CallerMemory callerMemory = callerMemory(settings.callers());
         limitSocket = new LimitSocket(vertx);
         limits = limits(random);
         EndpointNotices notices =
@@ -153,10 +154,14 @@
                                 meters,
                                 relaySettings(settings)),
                         adapter.engines(),
-                        bodyMemory);
+                        bodyMemory(callerMemory));
         where = new WhereHandler(relay::explain);
         servers = new CallerServers(vertx, clock, meters);
-        callers = servers.forCallers(relay::handle, knowledge::callerLimits);
+        callers =
+                servers.forCallers(
+                        relay::handle,
+                        knowledge::callerLimits,
+                        connections(settings.callers(), callerMemory));
         reading =
                 new StoreReading(
                         vertx,
@@ -192,8 +197,23 @@
         return memory;
     }
 
-    private BodyMemory bodyMemory() {
-        BodyMemory memory = new BodyMemory(Runtime.getRuntime().maxMemory() / BODY_HEAP_DIVISOR);
+    private static CallerMemory callerMemory(CallerBudget budget) {
+        return new CallerMemory(budget.memoryBytes(Runtime.getRuntime().maxMemory()));
+    }
+
+    private CallerConnections connections(CallerBudget budget, CallerMemory callerMemory) {
+        long descriptors = DescriptorLimit.available();
+        return new CallerConnections(
+                clock,
+                callerMemory,
+                budget.connections(descriptors),
+                budget.requests(descriptors),
+                meters);
+    }
+
+    private BodyMemory bodyMemory(CallerMemory callerMemory) {
+        BodyMemory memory =
+                new BodyMemory(Runtime.getRuntime().maxMemory() / BODY_HEAP_DIVISOR, callerMemory);
         meters.gauge("hyssopturn.body.bytes", memory, BodyMemory::heldBytes);
         return memory;
     }
