--- a/src/test/java/hyssopturn/relay/ChainFinderTest.java
+++ b/src/test/java/hyssopturn/relay/ChainFinderTest.java
@@ -146,7 +146,7 @@
                         "town.example",
                         "/write/",
                         true,
-                        RetryPolicy.values()[0],
+                        RetryPolicy.RESUME,
                         Duration.ofSeconds(20),
                         Duration.ofMillis(500),
                         Duration.ofMillis(200),
