--- a/src/main/java/hyssopturn/node/IssuerReader.java
+++ b/src/main/java/hyssopturn/node/IssuerReader.java
@@ -80,8 +80,7 @@
         if (limits.active() && limits.ownersOutdated()) {
             return TICK;
         }
-        boolean active =
-                limits.active() || loads.ownersOutdated() || (shared && neededByOthers);
+        boolean active = limits.active() || loads.ownersOutdated() || (shared && neededByOthers);
         Duration interval = active ? ACTIVE_INTERVAL : IDLE_INTERVAL;
         return shared ? interval.dividedBy(SHARED_DIVISOR) : interval;
     }
