--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -115,16 +115,7 @@
         limits = limits(random);
         EndpointNotices notices =
                 new EndpointNotices(knowledge.roster(), limits, clock, trace, meters);
-        PlatformAdapter adapter =
-                new PlatformAdapter(
-                        platform,
-                        HttpClients.withoutKeepAlive(
-                                vertx, STORE_CONNECTIONS, STORE_CONNECT_TIMEOUT),
-                        endpointClient,
-                        clock,
-                        answerMemory,
-                        notices,
-                        meters);
+        PlatformAdapter adapter = adapter(endpointClient, answerMemory, notices);
         FaultReporter faultReporter =
                 new FaultReporter(
                         adapter.log(), knowledge.roster(), clock, trace, platform.node(), random);
@@ -157,11 +148,7 @@
                         bodyMemory(callerMemory));
         where = new WhereHandler(relay::explain);
         servers = new CallerServers(vertx, clock, meters);
-        callers =
-                servers.forCallers(
-                        relay::handle,
-                        knowledge::callerLimits,
-                        connections(settings.callers(), callerMemory));
+        callers = callers(connections(settings.callers(), callerMemory));
         reading =
                 new StoreReading(
                         vertx,
@@ -178,6 +165,18 @@
         layers = layers(adapter);
     }
 
+    private PlatformAdapter adapter(
+            HttpClient endpointClient, AnswerMemory answerMemory, EndpointNotices notices) {
+        HttpClient storeClient =
+                HttpClients.withoutKeepAlive(vertx, STORE_CONNECTIONS, STORE_CONNECT_TIMEOUT);
+        return new PlatformAdapter(
+                platform, storeClient, endpointClient, clock, answerMemory, notices, meters);
+    }
+
+    private HttpServer callers(CallerConnections connections) {
+        return servers.forCallers(relay::handle, knowledge::callerLimits, connections);
+    }
+
     private EndpointLimits limits(RandomGenerator random) {
         int partitions = PlatformAdapter.partitions(platform);
         EndpointLimits created =
--- a/src/test/java/hyssopturn/cli/WhereNodeTest.java
+++ b/src/test/java/hyssopturn/cli/WhereNodeTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.not;
 
 import hyssopturn.model.Address;
+import hyssopturn.node.CallerBudget;
 import hyssopturn.node.RelayNode;
 import hyssopturn.node.RelayNodeSettings;
 import hyssopturn.platform.PlatformSettings;
@@ -42,7 +43,8 @@
 
     private static RelayNodeSettings settings() {
         Duration check = Duration.ofMillis(500);
-        return new RelayNodeSettings(check, check, check, check, check, check, 1, 100);
+        return new RelayNodeSettings(
+                check, check, check, check, check, check, 1, 100, new CallerBudget(25, 0));
     }
 
     private int ask(Address metrics, String path, String account, String... more) {
--- a/src/test/java/hyssopturn/platform/MalformedHeadsTest.java
+++ b/src/test/java/hyssopturn/platform/MalformedHeadsTest.java
@@ -27,6 +27,9 @@
     private static final int BAD_GATEWAY = 502;
     private static final int ANSWER_SECONDS = 5;
 
+    /** Number of requests, of which some are sent to each of two endpoints first. */
+    private static final int REPEATS = 4;
+
     private final RelayHarness harness = new RelayHarness();
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
 
@@ -90,16 +93,57 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"0 Odd", "101 Odd", "199 Odd", "600 Odd", "2000 Odd"})
+    @ValueSource(
+            strings = {
+                "0 Odd",
+                "000 Odd",
+                "000",
+                "1 Odd",
+                "99 Odd",
+                "100 Continue",
+                "101 Odd",
+                "199 Odd",
+                "600 Odd",
+                "999 Odd",
+                "2000 Odd",
+                "Odd"
+            })
     void inAStatusLineAreNotPassedOnAsAnAnswer(String status) {
         startEndpoint(status, "X-More: a", "found", Optional.empty());
         assertThat(call("/book/a").status(), equalTo(BAD_GATEWAY));
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"101 Odd", "2000 Odd"})
+    @ValueSource(
+            strings = {
+                "000 Odd",
+                "1 Odd",
+                "99 Odd",
+                "101 Odd",
+                "199 Odd",
+                "600 Odd",
+                "999 Odd",
+                "2000 Odd",
+                "Odd"
+            })
     void inTheStatusLineOfAStreamAreNotPassedOnAsAnAnswer(String status) {
         startEndpoint(status, "X-More: a", EVENT, Optional.of(new LayerRange(0, 80)));
         assertThat(call("/write/a").status(), equalTo(BAD_GATEWAY));
     }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"000 Odd", "1 Odd", "199 Odd", "600 Odd", "999 Odd", "Odd"})
+    void inAStatusLineSendARepeatableRequestToAnotherEndpoint(String status) {
+        startEndpoint(status, "X-More: a", "odd", Optional.empty());
+        RawServer sound =
+                new RawServer(
+                        vertx,
+                        "HTTP/1.1 200 OK\r\nHyssopturn-Attempt-Id: r1\r\n"
+                                + "Hyssopturn-Server-Seal: s\r\nContent-Length: 5\r\n\r\nfound",
+                        RawServer.End.CLOSED);
+        harness.announce("b", sound.address(), Optional.empty());
+        for (int i = 0; i < REPEATS; i++) {
+            assertThat(call("/look/a").status(), equalTo(OK));
+        }
+    }
 }
