--- a/src/main/java/hyssopturn/cli/RouterCommand.java
+++ b/src/main/java/hyssopturn/cli/RouterCommand.java
@@ -96,6 +96,7 @@
                 settings.get(RouterOptions.RETRY_AFTER),
                 settings.get(RouterOptions.NODES),
                 settings.get(RouterOptions.LOG_LINES),
+                settings.get(RouterOptions.ADMISSION),
                 new CallerBudget(
                         settings.get(RouterOptions.CALLER_MEMORY),
                         settings.get(RouterOptions.CALLER_CONNECTIONS)));
--- a/src/main/java/hyssopturn/cli/RouterOptions.java
+++ b/src/main/java/hyssopturn/cli/RouterOptions.java
@@ -68,6 +68,13 @@
                     "200",
                     "Greatest number of log lines in a second");
 
+    static final Setting<Boolean> ADMISSION =
+            new Setting<>(
+                    "admission",
+                    new Kind.Flag(),
+                    "false",
+                    "Whether new streams are held or refused while engines have no memory for"
+                        + " them");
     static final Setting<Integer> CALLER_MEMORY =
             new Setting<>(
                     "caller-memory",
@@ -93,6 +100,7 @@
                     RETRY_AFTER,
                     NODES,
                     LOG_LINES,
+                    ADMISSION,
                     CALLER_MEMORY,
                     CALLER_CONNECTIONS);
 
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -272,7 +272,8 @@
                 settings.firstEventStall(),
                 settings.gapStall(),
                 platform.leaveNotice(),
-                settings.retryAfter());
+                settings.retryAfter(),
+                settings.admission());
     }
 
     /** Starts controllers and servers on the event loop. */
--- a/src/main/java/hyssopturn/node/RelayNodeSettings.java
+++ b/src/main/java/hyssopturn/node/RelayNodeSettings.java
@@ -18,6 +18,7 @@
  * @param retryAfter time after which a refused caller should retry
  * @param nodes number of nodes assumed until the actual number is derived from the log
  * @param logLines maximum number of log lines per second
+ * @param admission whether new streams are held or refused while engines have no memory for them
  * @param callers limits on what callers occupy together
  */
 public record RelayNodeSettings(
@@ -29,4 +30,5 @@
         Duration retryAfter,
         int nodes,
         int logLines,
+        boolean admission,
         CallerBudget callers) {}
--- a/src/main/java/hyssopturn/relay/RelaySettings.java
+++ b/src/main/java/hyssopturn/relay/RelaySettings.java
@@ -18,6 +18,7 @@
  * @param shutdownPeriod how long after an endpoint announced its shutdown it still serves requests
  *     that no other one can serve
  * @param retryAfter time after which a caller should retry a request that was refused
+ * @param admission whether new streams are held or refused while engines have no memory for them
  */
 public record RelaySettings(
         String zone,
@@ -27,4 +28,5 @@
         Duration firstEventStall,
         Duration gapStall,
         Duration shutdownPeriod,
-        Duration retryAfter) {}
+        Duration retryAfter,
+        boolean admission) {}
--- a/src/main/java/hyssopturn/relay/StreamGate.java
+++ b/src/main/java/hyssopturn/relay/StreamGate.java
@@ -155,7 +155,7 @@
 
     /** Asks for the start of a new stream; returns false if it is held or was refused. */
     boolean admit(StreamCall call) {
-        if (!call.needsAdmission()) {
+        if (!context.settings().admission() || !call.needsAdmission()) {
             return true;
         }
         long now = now();
@@ -181,7 +181,9 @@
      */
     boolean holdWithoutChain(StreamCall call) {
         Service service = service(call);
-        if (!call.needsAdmission() || !service.admission.constrained()) {
+        if (!context.settings().admission()
+                || !call.needsAdmission()
+                || !service.admission.constrained()) {
             return false;
         }
         service.admission.postpone(call.ticket(), now());
@@ -256,7 +258,9 @@
 
     /** Returns when a caller that is refused for lack of room should return, if that is known. */
     Optional<Duration> retryAfter(StreamCall call) {
-        return service(call).admission.retryAfter(call.ticket(), call.timeToAnswer(), now());
+        return context.settings().admission()
+                ? service(call).admission.retryAfter(call.ticket(), call.timeToAnswer(), now())
+                : Optional.empty();
     }
 
     /** Returns whether streams are held or wait for their first event. */
--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -160,7 +160,8 @@
                                 STALL_TIMEOUT,
                                 STALL_TIMEOUT,
                                 SHUTDOWN_PERIOD,
-                                Duration.ofSeconds(1)));
+                                Duration.ofSeconds(1),
+                                true));
         relay =
                 new Relay(
                         parts,
--- a/src/test/java/hyssopturn/platform/TestNodes.java
+++ b/src/test/java/hyssopturn/platform/TestNodes.java
@@ -50,6 +50,7 @@
                 Duration.ofSeconds(1),
                 1,
                 100,
+                true,
                 new CallerBudget(25, 0));
     }
 
--- a/src/test/java/hyssopturn/relay/EventWaitTest.java
+++ b/src/test/java/hyssopturn/relay/EventWaitTest.java
@@ -18,7 +18,8 @@
                     Duration.ofMillis(250),
                     Duration.ofMillis(120),
                     Duration.ofSeconds(2),
-                    Duration.ofSeconds(1));
+                    Duration.ofSeconds(1),
+                    true);
 
     private final EventWait wait = new EventWait(SETTINGS, new StreamPace());
 
--- a/src/test/java/hyssopturn/relay/LoadStream.java
+++ b/src/test/java/hyssopturn/relay/LoadStream.java
@@ -25,7 +25,8 @@
                     Duration.ofMillis(250),
                     Duration.ofMillis(120),
                     Duration.ofSeconds(1),
-                    Duration.ofSeconds(1));
+                    Duration.ofSeconds(1),
+                    true);
 
     private final LoadNode node;
     private final LoadFigures figures;
