--- a/src/main/java/hyssopturn/cli/RouterCommand.java
+++ b/src/main/java/hyssopturn/cli/RouterCommand.java
@@ -97,6 +97,7 @@
                 settings.get(RouterOptions.NODES),
                 settings.get(RouterOptions.LOG_LINES),
                 settings.get(RouterOptions.ADMISSION),
+                settings.get(RouterOptions.ZONE_CHOICE),
                 new CallerBudget(
                         settings.get(RouterOptions.CALLER_MEMORY),
                         settings.get(RouterOptions.CALLER_CONNECTIONS)));
--- a/src/main/java/hyssopturn/cli/RouterOptions.java
+++ b/src/main/java/hyssopturn/cli/RouterOptions.java
@@ -74,7 +74,13 @@
                     new Kind.Flag(),
                     "false",
                     "Whether new streams are held or refused while engines have no memory for"
-                        + " them");
+                            + " them");
+    static final Setting<Boolean> ZONE_CHOICE =
+            new Setting<>(
+                    "zone-choice",
+                    new Kind.Flag(),
+                    "false",
+                    "Whether the load of other zones' clients decides where requests are sent");
     static final Setting<Integer> CALLER_MEMORY =
             new Setting<>(
                     "caller-memory",
@@ -101,6 +107,7 @@
                     NODES,
                     LOG_LINES,
                     ADMISSION,
+                    ZONE_CHOICE,
                     CALLER_MEMORY,
                     CALLER_CONNECTIONS);
 
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -273,7 +273,8 @@
                 settings.gapStall(),
                 platform.leaveNotice(),
                 settings.retryAfter(),
-                settings.admission());
+                settings.admission(),
+                settings.zoneChoice());
     }
 
     /** Starts controllers and servers on the event loop. */
--- a/src/main/java/hyssopturn/node/RelayNodeSettings.java
+++ b/src/main/java/hyssopturn/node/RelayNodeSettings.java
@@ -19,6 +19,7 @@
  * @param nodes number of nodes assumed until the actual number is derived from the log
  * @param logLines maximum number of log lines per second
  * @param admission whether new streams are held or refused while engines have no memory for them
+ * @param zoneChoice whether the load of other zones' clients decides where requests are sent
  * @param callers limits on what callers occupy together
  */
 public record RelayNodeSettings(
@@ -31,4 +32,5 @@
         int nodes,
         int logLines,
         boolean admission,
+        boolean zoneChoice,
         CallerBudget callers) {}
--- a/src/main/java/hyssopturn/relay/ChainFinder.java
+++ b/src/main/java/hyssopturn/relay/ChainFinder.java
@@ -177,6 +177,9 @@
     }
 
     private Optional<ZonePlan> zonePlan(long now) {
+        if (!context.settings().zoneChoice()) {
+            return Optional.empty();
+        }
         String zone = context.settings().zone();
         return context.zoneLinks()
                 .flows()
--- a/src/main/java/hyssopturn/relay/RelaySettings.java
+++ b/src/main/java/hyssopturn/relay/RelaySettings.java
@@ -19,6 +19,7 @@
  *     that no other one can serve
  * @param retryAfter time after which a caller should retry a request that was refused
  * @param admission whether new streams are held or refused while engines have no memory for them
+ * @param zoneChoice whether the load of other zones' clients decides where requests are sent
  */
 public record RelaySettings(
         String zone,
@@ -29,4 +30,5 @@
         Duration gapStall,
         Duration shutdownPeriod,
         Duration retryAfter,
-        boolean admission) {}
+        boolean admission,
+        boolean zoneChoice) {}
--- a/src/test/java/hyssopturn/cli/WhereNodeTest.java
+++ b/src/test/java/hyssopturn/cli/WhereNodeTest.java
@@ -44,7 +44,17 @@
     private static RelayNodeSettings settings() {
         Duration check = Duration.ofMillis(500);
         return new RelayNodeSettings(
-                check, check, check, check, check, check, 1, 100, true, new CallerBudget(25, 0));
+                check,
+                check,
+                check,
+                check,
+                check,
+                check,
+                1,
+                100,
+                true,
+                true,
+                new CallerBudget(25, 0));
     }
 
     private int ask(Address metrics, String path, String account, String... more) {
--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -161,6 +161,7 @@
                                 STALL_TIMEOUT,
                                 SHUTDOWN_PERIOD,
                                 Duration.ofSeconds(1),
+                                true,
                                 true));
         relay =
                 new Relay(
--- a/src/test/java/hyssopturn/platform/TestNodes.java
+++ b/src/test/java/hyssopturn/platform/TestNodes.java
@@ -51,6 +51,7 @@
                 1,
                 100,
                 true,
+                true,
                 new CallerBudget(25, 0));
     }
 
--- a/src/test/java/hyssopturn/relay/ChainFinderTest.java
+++ b/src/test/java/hyssopturn/relay/ChainFinderTest.java
@@ -136,7 +136,7 @@
                 new PromptGuard(new PromptQuarantine(0), clock, trace, report -> {}),
                 trace,
                 meters,
-                new RelaySettings("a", TICK, TICK, TICK, TICK, TICK, TICK, TICK, true));
+                new RelaySettings("a", TICK, TICK, TICK, TICK, TICK, TICK, TICK, true, true));
     }
 
     private static ChainFinder finder(RelayContext context) {
--- a/src/test/java/hyssopturn/relay/EndpointChecksTest.java
+++ b/src/test/java/hyssopturn/relay/EndpointChecksTest.java
@@ -92,7 +92,7 @@
                 new PromptGuard(new PromptQuarantine(0), clock, trace, report -> {}),
                 trace,
                 new SimpleMeterRegistry(),
-                new RelaySettings(ZONE, TICK, TICK, TICK, TICK, TICK, TICK, TICK, true));
+                new RelaySettings(ZONE, TICK, TICK, TICK, TICK, TICK, TICK, TICK, true, true));
     }
 
     private static Endpoint engine(int number) {
--- a/src/test/java/hyssopturn/relay/EventWaitTest.java
+++ b/src/test/java/hyssopturn/relay/EventWaitTest.java
@@ -19,6 +19,7 @@
                     Duration.ofMillis(120),
                     Duration.ofSeconds(2),
                     Duration.ofSeconds(1),
+                    true,
                     true);
 
     private final EventWait wait = new EventWait(SETTINGS, new StreamPace());
--- a/src/test/java/hyssopturn/relay/LoadStream.java
+++ b/src/test/java/hyssopturn/relay/LoadStream.java
@@ -26,6 +26,7 @@
                     Duration.ofMillis(120),
                     Duration.ofSeconds(1),
                     Duration.ofSeconds(1),
+                    true,
                     true);
 
     private final LoadNode node;
