--- a/src/test/java/hyssopturn/platform/MalformedHeadsTest.java
+++ b/src/test/java/hyssopturn/platform/MalformedHeadsTest.java
@@ -135,13 +135,7 @@
     @ValueSource(strings = {"000 Odd", "1 Odd", "199 Odd", "600 Odd", "999 Odd", "Odd"})
     void inAStatusLineSendARepeatableRequestToAnotherEndpoint(String status) {
         startEndpoint(status, "X-More: a", "odd", Optional.empty());
-        RawServer sound =
-                new RawServer(
-                        vertx,
-                        "HTTP/1.1 200 OK\r\nHyssopturn-Attempt-Id: r1\r\n"
-                                + "Hyssopturn-Server-Seal: s\r\nContent-Length: 5\r\n\r\nfound",
-                        RawServer.End.CLOSED);
-        harness.announce("b", sound.address(), Optional.empty());
+        harness.service("b", r -> RelayHarness.signed(r).end("found"));
         for (int i = 0; i < REPEATS; i++) {
             assertThat(call("/look/a").status(), equalTo(OK));
         }
