--- a/src/main/java/hyssopturn/cli/RouterCommand.java
+++ b/src/main/java/hyssopturn/cli/RouterCommand.java
@@ -98,6 +98,7 @@
                 settings.get(RouterOptions.LOG_LINES),
                 settings.get(RouterOptions.ADMISSION),
                 settings.get(RouterOptions.ZONE_CHOICE),
+                settings.get(RouterOptions.LOAD_NODES),
                 new CallerBudget(
                         settings.get(RouterOptions.CALLER_MEMORY),
                         settings.get(RouterOptions.CALLER_CONNECTIONS)));
--- a/src/main/java/hyssopturn/cli/RouterOptions.java
+++ b/src/main/java/hyssopturn/cli/RouterOptions.java
@@ -81,6 +81,12 @@
                     new Kind.Flag(),
                     "false",
                     "Whether the load of other zones' clients decides where requests are sent");
+    static final Setting<Integer> LOAD_NODES =
+            new Setting<>(
+                    "load-nodes",
+                    new Kind.Whole(1, MAX_NODES),
+                    "12",
+                    "Number of nodes from which on they tell each other their loads");
     static final Setting<Integer> CALLER_MEMORY =
             new Setting<>(
                     "caller-memory",
@@ -108,6 +114,7 @@
                     LOG_LINES,
                     ADMISSION,
                     ZONE_CHOICE,
+                    LOAD_NODES,
                     CALLER_MEMORY,
                     CALLER_CONNECTIONS);
 
--- a/src/main/java/hyssopturn/load/LoadExchange.java
+++ b/src/main/java/hyssopturn/load/LoadExchange.java
@@ -26,9 +26,6 @@
  * partition stands in for it. Sums of too few nodes, or too old, are not used.
  */
 public final class LoadExchange implements LoadView {
-    /** Number of nodes from which on loads are exchanged. */
-    static final int MIN_NODES = 3;
-
     /** Part of the known nodes that a sum must hold; two of three zones are enough. */
     static final double MIN_COVERAGE = 0.6;
 
@@ -66,6 +63,7 @@
     private final Address self;
     private final String zone;
     private final int partitions;
+    private final int minNodes;
     private final Clock clock;
     private final RandomGenerator random;
     private final LoadChannel channel;
@@ -95,6 +93,7 @@
      * @param self address at which other nodes send messages about load to this one
      * @param zone availability zone of this node
      * @param partitions number of partitions that nodes hold
+     * @param minNodes number of nodes from which on loads are exchanged
      * @param clock clock and timer
      * @param random source of the jitter of messages
      * @param channel sends messages
@@ -106,6 +105,7 @@
             Address self,
             String zone,
             int partitions,
+            int minNodes,
             Clock clock,
             RandomGenerator random,
             LoadChannel channel,
@@ -115,6 +115,7 @@
         this.self = self;
         this.zone = zone;
         this.partitions = partitions;
+        this.minNodes = minNodes;
         this.clock = clock;
         this.random = random;
         this.channel = channel;
@@ -174,7 +175,7 @@
         if (!scopesRead || now - scopesReadNanos >= SCOPES_INTERVAL.toNanos()) {
             readScopes(now);
         }
-        if (knownNodes >= MIN_NODES) {
+        if (knownNodes >= minNodes) {
             queries.forEach((scope, query) -> ask(scope, query, now));
         }
     }
@@ -370,7 +371,7 @@
     }
 
     private Optional<ScopeQuery.Known> known(LoadScope scope, long now) {
-        if (knownNodes < MIN_NODES) {
+        if (knownNodes < minNodes) {
             return Optional.empty();
         }
         return Optional.ofNullable(queries.get(scope))
--- a/src/main/java/hyssopturn/node/LoadSharing.java
+++ b/src/main/java/hyssopturn/node/LoadSharing.java
@@ -35,6 +35,7 @@
     LoadSharing(
             Vertx vertx,
             PlatformSettings platform,
+            int minNodes,
             RoutingState knowledge,
             Clock clock,
             RandomGenerator random,
@@ -47,6 +48,7 @@
                         platform.loads(),
                         platform.zone(),
                         PlatformAdapter.partitions(platform),
+                        minNodes,
                         clock,
                         random,
                         socket,
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -103,7 +103,8 @@
                         new EventCounters(meters));
         SplittableRandom random = new SplittableRandom();
         retries = retries(settings);
-        loads = new LoadSharing(vertx, platform, knowledge, clock, random, meters);
+        int loadNodes = settings.loadNodes();
+        loads = new LoadSharing(vertx, platform, loadNodes, knowledge, clock, random, meters);
         load = new EngineLoad(random, nodesInZone(settings.nodes()), loads.own(), loads.view());
         pipes = new InterZoneBudget(settings.nodes());
         HttpClient endpointClient =
--- a/src/main/java/hyssopturn/node/RelayNodeSettings.java
+++ b/src/main/java/hyssopturn/node/RelayNodeSettings.java
@@ -20,6 +20,7 @@
  * @param logLines maximum number of log lines per second
  * @param admission whether new streams are held or refused while engines have no memory for them
  * @param zoneChoice whether the load of other zones' clients decides where requests are sent
+ * @param loadNodes number of nodes from which on they tell each other their loads
  * @param callers limits on what callers occupy together
  */
 public record RelayNodeSettings(
@@ -33,4 +34,5 @@
         int logLines,
         boolean admission,
         boolean zoneChoice,
+        int loadNodes,
         CallerBudget callers) {}
--- a/src/test/java/hyssopturn/cli/WhereNodeTest.java
+++ b/src/test/java/hyssopturn/cli/WhereNodeTest.java
@@ -54,6 +54,7 @@
                 100,
                 true,
                 true,
+                3,
                 new CallerBudget(25, 0));
     }
 
--- a/src/test/java/hyssopturn/load/LoadNetwork.java
+++ b/src/test/java/hyssopturn/load/LoadNetwork.java
@@ -22,6 +22,8 @@
     /** Number of partitions, and so of nodes that can be asked for sums. */
     static final int PARTITIONS = 128;
 
+    private static final int MIN_NODES = 3;
+
     /** Size of the headers of a datagram. */
     private static final int HEADER_BYTES = 28;
 
@@ -64,6 +66,7 @@
                             address,
                             zone,
                             PARTITIONS,
+                            MIN_NODES,
                             ownClock(),
                             random,
                             (to, message) -> deliver(this, to, message),
--- a/src/test/java/hyssopturn/platform/TestNodes.java
+++ b/src/test/java/hyssopturn/platform/TestNodes.java
@@ -38,6 +38,9 @@
                 1);
     }
 
+    /** Number of nodes from which on they exchange loads. */
+    private static final int LOAD_NODES = 3;
+
     /** Returns settings of a node that never takes an engine for stalled. */
     static RelayNodeSettings own() {
         Duration never = Duration.ofMinutes(1);
@@ -52,6 +55,7 @@
                 100,
                 true,
                 true,
+                LOAD_NODES,
                 new CallerBudget(25, 0));
     }
 
