--- a/src/main/java/hyssopturn/catalog/Catalog.java
+++ b/src/main/java/hyssopturn/catalog/Catalog.java
@@ -20,6 +20,7 @@
     private final CallerLimits limits;
     private final CatalogGaps gaps;
     private final Set<String> servicesWithPriorities;
+    private final Set<String> servicesWithDifferentRoutes;
 
     /** A route, empty if it could not be read, and the requests that it applies to. */
     private record Entry(RouteKey key, Optional<Route> route) {}
@@ -74,6 +75,7 @@
         services.forEach(s -> this.services.put(s.name(), s));
         this.accounts = accounts.map(Map::copyOf);
         this.limits = limits;
+        servicesWithDifferentRoutes = Priorities.servicesWithSeveral(routes, Set.of());
         servicesWithPriorities =
                 Priorities.servicesWithSeveral(
                         routes, this.accounts.map(a -> Set.copyOf(a.values())).orElse(Set.of()));
@@ -157,6 +159,16 @@
         return servicesWithPriorities.contains(service);
     }
 
+    /**
+     * Returns whether the routes of a service have different priorities.
+     *
+     * @param service name of the service
+     * @return true if at least two of its routes differ
+     */
+    public boolean routesDifferInPriority(String service) {
+        return servicesWithDifferentRoutes.contains(service);
+    }
+
     /**
      * Finds an account by its name.
      *
--- a/src/main/java/hyssopturn/relay/Admitted.java
+++ b/src/main/java/hyssopturn/relay/Admitted.java
@@ -30,10 +30,11 @@
     }
 
     /**
-     * Returns the priority that engines receive, empty if all requests to the service share one.
+     * Returns the priority that engines receive, empty if the routes of the service do not differ.
+     * Accounts alone do not call for it, since nearly all have the same priority.
      */
     OptionalInt sentPriority() {
-        return catalog.hasSeveralPriorities(service)
+        return catalog.routesDifferInPriority(service)
                 ? OptionalInt.of(priority())
                 : OptionalInt.empty();
     }
