--- a/review/standin-2/Bed.java
+++ b/review/standin-2/Bed.java
@@ -11,6 +11,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URLDecoder;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -118,10 +119,12 @@
         void handle(Socket socket, Message request, InputStream in) throws IOException;
     }
 
-    /** Accepts connections, each on a thread of its own; their windows are small. */
+    /** Accepts connections like those of a link, with small windows; each has its own thread. */
     static ServerSocket listen(Handler handler) {
         try {
-            ServerSocket server = new ServerSocket();
+            ServerSocketChannel channel = ServerSocketChannel.open();
+            Segments.limit(channel);
+            ServerSocket server = channel.socket();
             server.setReceiveBufferSize(WINDOW_BYTES);
             server.bind(new InetSocketAddress(HOST, 0), 512);
             start("accept", () -> accept(server, handler));
@@ -709,10 +712,15 @@
     }
 
     static String route(String name, String type, String service, String more) {
+        return route(name, type, service, more, 20_000);
+    }
+
+    static String route(
+            String name, String type, String service, String more, long timeoutMillis) {
         return ("{\"Name\":\"%s\",\"Host\":\"h.example\",\"PathPrefix\":\"/%s/\",\"Type\":\"%s\","
-                        + "\"TimeoutMs\":20000,\"TargetLatencyMs\":500,\"MaxAttempts\":2,"
+                        + "\"TimeoutMs\":%d,\"TargetLatencyMs\":500,\"MaxAttempts\":2,"
                         + "\"Priority\":1,\"Service\":\"%s\"%s}")
-                .formatted(name, name, type, service, more);
+                .formatted(name, name, type, timeoutMillis, service, more);
     }
 
     static String request(
--- a/review/standin-2/TornAnswer.java
+++ b/review/standin-2/TornAnswer.java
@@ -20,8 +20,8 @@
  * One worker, a process of its own, is killed while it answers.
  */
 final class TornAnswer extends Bed {
-    private static final int REQUESTS = 5;
-    private static final int BODY_BYTES = 4_000_000;
+    private static final int REQUESTS = 12;
+    private static final int BODY_BYTES = 2_000_000;
     private static final int ANSWER_BYTES = 8_000;
     private static final int FIRST_PART_BYTES = 4_000;
     private static final long WORK_MILLIS = 1_500;
@@ -110,6 +110,8 @@
                 new ProcessBuilder(
                                 ProcessHandle.current().info().command().orElseThrow(),
                                 "-Xmx64m",
+                                "--enable-native-access=ALL-UNNAMED",
+                                "--add-opens=java.base/sun.nio.ch=ALL-UNNAMED",
                                 "-cp",
                                 System.getProperty("java.class.path"),
                                 "TornAnswer",
