--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -15,4 +15,4 @@
 [ -n "$javac" ] || { echo "no JDK 25 found" >&2; exit 1; }
 rm -rf target/review-2
 mkdir -p target/review-2
-"$javac" --release 25 -Xlint:all,-restricted -d target/review-2 review/standin-2/*.java
+"$javac" --release 25 -encoding UTF-8 -Xlint:all,-restricted -d target/review-2 review/standin-2/*.java
--- a/review/standin-2/Bed.java
+++ b/review/standin-2/Bed.java
@@ -692,6 +692,11 @@
 
     /** Writes a configuration like that of a small deployment. */
     void configure(long version, String routes, String services) {
+        configure(version, routes, services, List.of());
+    }
+
+    /** Writes a configuration with further tenants, whose keys follow those of the others. */
+    void configure(long version, String routes, String services, List<String> furtherTenants) {
         store.put(
                 "op",
                 "config",
@@ -699,14 +704,19 @@
                                 + "\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,"
                                 + "\"HeaderTimeoutMs\":10000,\"IdleTimeoutMs\":15000},"
                                 + "\"Tenants\":[%s]}")
-                        .formatted(version, routes, services, tenants()));
+                        .formatted(version, routes, services, tenants(furtherTenants)));
         note("configuration " + version + " is acknowledged");
     }
 
-    private static String tenants() {
-        List<String> tenants = new ArrayList<>();
+    private static String tenants(List<String> further) {
+        List<String> names = new ArrayList<>();
         for (int i = 0; i < TENANTS; i++) {
-            tenants.add("{\"Name\":\"t%d\",\"ApiKeys\":[\"key%d\"]}".formatted(i, i));
+            names.add("t" + i);
+        }
+        names.addAll(further);
+        List<String> tenants = new ArrayList<>();
+        for (int i = 0; i < names.size(); i++) {
+            tenants.add("{\"Name\":\"%s\",\"ApiKeys\":[\"key%d\"]}".formatted(names.get(i), i));
         }
         return String.join(",", tenants);
     }
@@ -725,9 +735,14 @@
 
     static String request(
             String method, String path, String id, int tenant, String more, int bodyBytes) {
+        return requestWithKey(method, path, id, tenant % TENANTS, more, bodyBytes);
+    }
+
+    static String requestWithKey(
+            String method, String path, String id, int key, String more, int bodyBytes) {
         return ("%s %s HTTP/1.1\r\nHost: h.example\r\nHyssopturn-Attempt-Id: %s\r\n"
                         + "Hyssopturn-Deadline-Ms: 15000\r\nX-Api-Key: key%d\r\n"
                         + "Content-Length: %d\r\n%s")
-                .formatted(method, path, id, tenant % TENANTS, bodyBytes, more);
+                .formatted(method, path, id, key, bodyBytes, more);
     }
 }
