--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../run-scenario.sh" SmuggledRequest review/8
+exec "$(dirname "$0")/../run-scenario.sh" TenantNames review/8
