--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-exec "$(dirname "$0")/../run-scenario.sh" SmuggledRequest review/9
+exec "$(dirname "$0")/../run-scenario.sh" TornStream review/9
--- a/review/standin-2/Bed.java
+++ b/review/standin-2/Bed.java
@@ -1,4 +1,5 @@
 import java.io.BufferedInputStream;
+import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
 import java.io.DataOutputStream;
 import java.io.EOFException;
@@ -22,6 +23,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -42,6 +44,7 @@
     final Store store = new Store();
     final List<Node> nodes = new CopyOnWriteArrayList<>();
     final List<Worker> workers = new CopyOnWriteArrayList<>();
+    private final Map<String, Process> workerProcesses = new ConcurrentHashMap<>();
     final Path directory = temporaryDirectory();
     private final long startNanos = System.nanoTime();
     private final PrintWriter record;
@@ -75,8 +78,45 @@
         Runtime.getRuntime().halt(code);
     }
 
-    void endProcesses() {
+    final void endProcesses() {
         nodes.forEach(n -> n.process.destroyForcibly());
+        workerProcesses.values().forEach(Process::destroyForcibly);
+    }
+
+    /**
+     * Starts a worker as a process of its own, and registers it. The scenario's main method runs it
+     * with the arguments "worker" and its name; it prints its port first, and then what it does.
+     */
+    void startWorker(String id, String service, String more) throws IOException {
+        Process process =
+                new ProcessBuilder(
+                                ProcessHandle.current().info().command().orElseThrow(),
+                                "-Xmx64m",
+                                "--enable-native-access=ALL-UNNAMED",
+                                "--add-opens=java.base/sun.nio.ch=ALL-UNNAMED",
+                                "-cp",
+                                System.getProperty("java.class.path"),
+                                getClass().getName(),
+                                "worker",
+                                id)
+                        .redirectError(ProcessBuilder.Redirect.DISCARD)
+                        .start();
+        workerProcesses.put(id, process);
+        BufferedReader out = process.inputReader();
+        int port = Integer.parseInt(out.readLine());
+        start(
+                "output",
+                () -> {
+                    for (String line = out.readLine(); line != null; line = out.readLine()) {
+                        note(line);
+                    }
+                });
+        new Worker(id, service, more, HOST + ":" + port, process::isAlive);
+    }
+
+    void killWorker(String id) {
+        note("SIGKILL to " + id);
+        workerProcesses.get(id).destroyForcibly();
     }
 
     synchronized void note(String line) {
@@ -708,6 +748,16 @@
         note("configuration " + version + " is acknowledged");
     }
 
+    /** Describes a service of model workers, each of which has memory for all four layers. */
+    static String engine(String service) {
+        return ("{\"Name\":\"%s\",\"Engine\":{\"Layers\":4,\"LayerMb\":1.0,\"KvTokenBytes\":80,"
+                        + "\"step_ms\":1.0,\"read_per_s\":1000.0,\"PipeMbps\":1000.0,"
+                        + "\"usual\":{\"prompt\":10,\"answer\":10},"
+                        + "\"Kinds\":[{\"Name\":\"k\",\"SizeMb\":1000.0,\"pace\":1.0,\"ReadX\":1.0}],"
+                        + "\"Models\":[{\"Name\":\"m\",\"LoadS\":1.0}]}}")
+                .formatted(service);
+    }
+
     private static String tenants(List<String> further) {
         List<String> names = new ArrayList<>();
         for (int i = 0; i < TENANTS; i++) {
--- a/review/standin-2/TornAnswer.java
+++ b/review/standin-2/TornAnswer.java
@@ -1,14 +1,11 @@
 import java.io.BufferedInputStream;
-import java.io.BufferedReader;
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -27,8 +24,6 @@
     private static final long WORK_MILLIS = 1_500;
     private static final long KILL_MILLIS = 700;
 
-    private final List<Process> processes = new ArrayList<>();
-
     private TornAnswer(Path caseFolder) throws IOException {
         super(caseFolder);
     }
@@ -41,16 +36,10 @@
         }
     }
 
-    @Override
-    void endProcesses() {
-        super.endProcesses();
-        processes.forEach(Process::destroyForcibly);
-    }
-
     @Override
     int play() throws Exception {
         for (String id : List.of("worker-a", "worker-b", "worker-c")) {
-            startWorker(id);
+            startWorker(id, "app", "");
         }
         configure(3, route("book", "unsafe", "app", ""), "{\"Name\":\"app\"}");
         Node node = new Node("node-1");
@@ -63,8 +52,7 @@
         }
         if (trouble) {
             sleep(KILL_MILLIS);
-            note("SIGKILL to worker-a");
-            processes.get(0).destroyForcibly();
+            killWorker("worker-a");
         }
         if (!ended.await(30, TimeUnit.SECONDS)) {
             throw new IllegalStateException("some requests have not ended");
@@ -104,34 +92,6 @@
         }
     }
 
-    /** Starts a worker as a process of its own, and registers it. */
-    private void startWorker(String id) throws IOException {
-        Process process =
-                new ProcessBuilder(
-                                ProcessHandle.current().info().command().orElseThrow(),
-                                "-Xmx64m",
-                                "--enable-native-access=ALL-UNNAMED",
-                                "--add-opens=java.base/sun.nio.ch=ALL-UNNAMED",
-                                "-cp",
-                                System.getProperty("java.class.path"),
-                                "TornAnswer",
-                                "worker",
-                                id)
-                        .redirectError(ProcessBuilder.Redirect.DISCARD)
-                        .start();
-        processes.add(process);
-        BufferedReader out = process.inputReader();
-        int port = Integer.parseInt(out.readLine());
-        start(
-                "output",
-                () -> {
-                    for (String line = out.readLine(); line != null; line = out.readLine()) {
-                        note(line);
-                    }
-                });
-        new Worker(id, "app", "", HOST + ":" + port, process::isAlive);
-    }
-
     private static void runWorker(String id) throws InterruptedException {
         ServerSocket server = listen((socket, request, in) -> work(id, socket, request, in));
         System.out.println(server.getLocalPort());
