--- a/review/standin-2/TenantNames.java
+++ b/review/standin-2/TenantNames.java
@@ -54,6 +54,7 @@
 
     private void call(Node node, String tenant, int key, String id) {
         String result;
+        note("%s is sent with the key of %s".formatted(id, tenant));
         try (Socket socket = connect(node.front)) {
             socket.setSoTimeout(5_000);
             send(
@@ -64,7 +65,7 @@
         } catch (IOException e) {
             result = e.toString();
         }
-        note("%s with the key of %s: %s".formatted(id, tenant, result));
+        note("%s is answered %s".formatted(id, result));
     }
 
     private static String tenant(int key) {
--- a/review/standin-2/TornAnswer.java
+++ b/review/standin-2/TornAnswer.java
@@ -63,6 +63,7 @@
 
     private void call(Node node, int number, AtomicInteger torn, CountDownLatch ended) {
         String id = "r" + number;
+        note("%s is sent, %d bytes".formatted(id, BODY_BYTES));
         try (Socket socket = connect(node.front)) {
             socket.setSoTimeout(20_000);
             InputStream in = new BufferedInputStream(socket.getInputStream());
--- a/review/standin-2/TornStream.java
+++ b/review/standin-2/TornStream.java
@@ -65,6 +65,7 @@
 
     private void call(Node node, int number, AtomicInteger torn, CountDownLatch ended) {
         String id = "s" + number;
+        note("%s is sent, %d bytes".formatted(id, BODY_BYTES));
         try (Socket socket = connect(node.front)) {
             socket.setSoTimeout(20_000);
             InputStream in = new BufferedInputStream(socket.getInputStream());
--- a/review/standin-2/UnreadBodies.java
+++ b/review/standin-2/UnreadBodies.java
@@ -30,7 +30,6 @@
     private final AtomicInteger answered = new AtomicInteger();
     private final AtomicInteger lateAtTimeout = new AtomicInteger();
     private final AtomicInteger lateAfterGrace = new AtomicInteger();
-    private final AtomicInteger open = new AtomicInteger();
     private volatile boolean over;
     private volatile boolean slow;
 
@@ -97,11 +96,12 @@
         String id = kind + "-" + number;
         String result;
         long sentNanos = System.nanoTime();
+        note("%s is sent, %d bytes".formatted(id, bytes));
         try (Socket socket = connect(node.front)) {
             socket.setSoTimeout(DEADLINE_MILLIS);
             String head =
                     request("POST", "/" + kind + "/x", id, number, "", bytes)
-                            .replace("15000", String.valueOf(DEADLINE_MILLIS));
+                            .replace("Ms: 15000", "Ms: " + DEADLINE_MILLIS);
             send(socket.getOutputStream(), head, new byte[bytes]);
             sentNanos = System.nanoTime();
             Message answer = Message.read(new BufferedInputStream(socket.getInputStream()));
@@ -113,9 +113,7 @@
         if (kind.equals("short")) {
             count(took);
         }
-        if (took > TIMEOUT_MILLIS || !result.contains("200")) {
-            note("%s: %s after %d ms".formatted(id, result, took));
-        }
+        note("%s is answered %s after %d ms".formatted(id, result, took));
     }
 
     private void count(long took) {
@@ -134,6 +132,7 @@
             throws IOException {
         String id = request.header("Hyssopturn-Attempt-Id");
         boolean isLong = id.startsWith("long");
+        note("a worker runs " + id);
         if (!isLong) {
             request.readBody(in, false);
         }
@@ -146,10 +145,8 @@
                         + "\r\nContent-Length: 4\r\n",
                 bytes("done"));
         if (isLong) {
-            open.incrementAndGet();
             sleep((long) (turnsSlow && slow ? READ_ON_MILLIS * SLOWNESS : READ_ON_MILLIS));
             request.readBody(in, false);
-            open.decrementAndGet();
         }
     }
 }
