Tests of a router on its machine: unread bytes, descriptors, late readers

Counted are resident memory and the bytes of the callers' sockets that were not read; an ordinary request must be served while the crowd stays and after. No product code has changed.

--- a/src/test/java/hyssopturn/platform/Crowd.java
+++ b/src/test/java/hyssopturn/platform/Crowd.java
@@ -41,7 +41,7 @@
 
         /** Sends what the connection takes now, and returns how much. */
         int send() {
-            if (closed || sentBytes >= limitBytes) {
+            if (closed || !channel.isConnected() || sentBytes >= limitBytes) {
                 return 0;
             }
             try {
--- a/src/test/java/hyssopturn/platform/RouterProcess.java
+++ b/src/test/java/hyssopturn/platform/RouterProcess.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
-/** A router in a process of its own, with little memory and few descriptors. */
+/** A router in a process of its own, on a given machine. */
 final class RouterProcess implements AutoCloseable {
     private static final int HEAP_MB = 48;
     private static final int DIRECT_MB = 24;
@@ -19,7 +19,7 @@
     /** Memory of the JVM besides heap and direct memory: code, classes, stacks, collector. */
     private static final int JVM_MB = 96;
 
-    /** Most resident memory, in bytes. */
+    /** Most resident memory and bytes that the process has not read, in bytes. */
     static final long MAX_RESIDENT_BYTES = (HEAP_MB + DIRECT_MB + JVM_MB) * (1L << 20);
 
     /** Number of descriptors that the process may open. */
@@ -34,38 +34,52 @@
     private final Process process;
     private final Path output;
 
+    /** A machine with little memory and few descriptors, whose limits the settings do not name. */
+    static final RouterMachine SMALL_MACHINE = new RouterMachine(DESCRIPTORS, smallOptions(), "");
+
     /**
      * Starts a router.
      *
      * @param settings settings of the platform
      * @param directory directory for the settings file and the output
      * @param options further options of the router
+     * @param machine the router's machine
      */
-    RouterProcess(PlatformSettings settings, Path directory, List<String> options)
+    RouterProcess(
+            PlatformSettings settings, Path directory, List<String> options, RouterMachine machine)
             throws IOException {
         Path file = directory.resolve("node.toml");
-        Files.writeString(file, toml(settings));
+        Files.writeString(file, toml(settings) + machine.limits());
         output = directory.resolve("output");
         process =
-                new ProcessBuilder(command(file, options))
+                new ProcessBuilder(command(file, options, machine))
                         .redirectErrorStream(true)
                         .redirectOutput(output.toFile())
                         .start();
     }
 
-    private static List<String> command(Path file, List<String> options) {
+    private static List<String> smallOptions() {
+        return List.of(
+                "-Xms16m",
+                "-Xmx" + HEAP_MB + "m",
+                "-Xss384k",
+                "-XX:MaxDirectMemorySize=" + DIRECT_MB + "m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-XX:+ExitOnOutOfMemoryError",
+                "-XX:-UsePerfData",
+                "--sun-misc-unsafe-memory-access=allow",
+                "-Dio.netty.allocator.numDirectArenas=1",
+                "-Dio.netty.allocator.numHeapArenas=1",
+                "-Dvertx.disableDnsResolver=true");
+    }
+
+    private static List<String> command(Path file, List<String> options, RouterMachine machine) {
         List<String> command = new ArrayList<>();
-        command.addAll(
-                List.of("sh", "-c", "ulimit -n " + DESCRIPTORS + " && exec \"$@\"", "router"));
+        String limit = "ulimit -n " + machine.descriptors();
+        command.addAll(List.of("sh", "-c", limit + " && exec \"$@\"", "router"));
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        command.addAll(List.of("-Xms16m", "-Xmx" + HEAP_MB + "m", "-Xss384k"));
-        command.addAll(List.of("-XX:MaxDirectMemorySize=" + DIRECT_MB + "m"));
-        command.addAll(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
-        command.addAll(List.of("-XX:+ExitOnOutOfMemoryError", "-XX:-UsePerfData"));
-        command.add("--sun-misc-unsafe-memory-access=allow");
-        command.addAll(List.of("-Dio.netty.allocator.numDirectArenas=1"));
-        command.addAll(List.of("-Dio.netty.allocator.numHeapArenas=1"));
-        command.add("-Dvertx.disableDnsResolver=true");
+        command.addAll(machine.options());
         command.addAll(List.of("-cp", System.getProperty("java.class.path")));
         command.addAll(List.of(Main.class.getName(), "router", "--config=" + file));
         command.addAll(options);
@@ -105,10 +119,12 @@
 
     /** Describes how the process is or how it ended. */
     String state() {
-        return alive()
-                ? "running, %,d KB, %d descriptors"
-                        .formatted(residentBytes() / BYTES_PER_KB, descriptors())
-                : "ended with " + process.exitValue() + ": " + lastOutput();
+        String state =
+                alive()
+                        ? "running, %,d KB, %d descriptors"
+                                .formatted(residentBytes() / BYTES_PER_KB, descriptors())
+                        : "ended with " + process.exitValue();
+        return state + ": " + lastOutput();
     }
 
     private String lastOutput() {
@@ -141,6 +157,24 @@
         }
     }
 
+    /** Returns the number of open sockets and pipes, 0 if the process has ended. */
+    int sockets() {
+        try (Stream<Path> open = Files.list(proc("fd"))) {
+            return (int) open.filter(RouterProcess::isSocketOrPipe).count();
+        } catch (IOException | UncheckedIOException e) {
+            return 0;
+        }
+    }
+
+    private static boolean isSocketOrPipe(Path descriptor) {
+        try {
+            String target = Files.readSymbolicLink(descriptor).toString();
+            return target.startsWith("socket:") || target.startsWith("pipe:");
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     private Path proc(String name) {
         return Path.of("/proc", Long.toString(process.pid()), name);
     }
