Requests take descriptors when their bodies are complete

Callers saw: 503 to ordinary requests while some dozens of connections on a small machine, or some 500 on one with 2,069 descriptors, sent the bodies of their requests slowly or stopped just short of the end.

Cause: a request took two descriptors for connections to endpoints from its head on, though it is passed on only when its body is complete.

Change: it takes them with the end of its body. The limit and the refusal are the same.

--- a/src/main/java/hyssopturn/node/CallerConnection.java
+++ b/src/main/java/hyssopturn/node/CallerConnection.java
@@ -166,6 +166,22 @@
         }
     }
 
+    /**
+     * Counts a request that is complete, from when on it may need connections to endpoints; returns
+     * false if it is refused. One that has its answer already needs none.
+     */
+    private boolean countRequest() {
+        if (!timeouts.answerPending()) {
+            return true;
+        }
+        if (!connections.beginRequest()) {
+            refuse(RawAnswer.UNAVAILABLE, "requests");
+            return false;
+        }
+        requestCounted = true;
+        return true;
+    }
+
     private void uncountRequest() {
         if (requestCounted) {
             requestCounted = false;
@@ -424,7 +440,11 @@
             return;
         }
         if (message instanceof LastHttpContent last) {
-            endRequest(last);
+            if (countRequest()) {
+                endRequest(last);
+            } else {
+                last.release();
+            }
         } else if (message instanceof HttpContent chunk) {
             int size = chunk.content().readableBytes();
             bodyLeft = Math.max(0, bodyLeft - size);
@@ -444,11 +464,6 @@
             refuse(RawAnswer.UNAVAILABLE, "memory");
             return false;
         }
-        if (!connections.beginRequest()) {
-            refuse(RawAnswer.UNAVAILABLE, "requests");
-            return false;
-        }
-        requestCounted = true;
         boolean announced =
                 request.decoderResult().isSuccess() && !HttpUtil.isTransferEncodingChunked(request);
         bodyLeft = announced ? HttpUtil.getContentLength(request, 0L) : 0;
--- a/src/main/java/hyssopturn/node/CallerTimeouts.java
+++ b/src/main/java/hyssopturn/node/CallerTimeouts.java
@@ -127,6 +127,11 @@
         return bodyOpen && unanswered == 0;
     }
 
+    /** Returns whether a request has no answer yet. */
+    boolean answerPending() {
+        return unanswered > 0;
+    }
+
     /** Returns whether an answer is awaited, though the whole request has been read. */
     boolean answerAwaited() {
         return unanswered > 0 && !bodyOpen;
--- a/src/test/java/hyssopturn/platform/MachineMemoryTest.java
+++ b/src/test/java/hyssopturn/platform/MachineMemoryTest.java
@@ -1,6 +1,7 @@
 package hyssopturn.platform;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import io.vertx.core.buffer.Buffer;
@@ -13,6 +14,8 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 
 /**
  * A router with the options of the deploy file stays within the memory and the descriptors of its
@@ -31,6 +34,10 @@
     /** Sockets and pipes of the machine with few descriptors. */
     private static final int FEW_SOCKETS = 120;
 
+    /** Connections that the machine with few descriptors allows. */
+    private static final int FEW_CONNECTIONS = 50;
+
+    private static final int OK = 200;
     private static final int CONNECTIONS = 200;
     private static final int MANY_CONNECTIONS = 1_200;
     private static final int SHORT_LINES = 3_200;
@@ -148,6 +155,23 @@
         checkMemory(unreadAnswers(smallChunks(crowd, part), part));
     }
 
+    @Test
+    void requestsWhoseBodiesAreIncompleteLeaveDescriptorsToOthers() throws IOException {
+        startRouter(MEMORY_MB, RouterMachine.FILE_DESCRIPTORS + FEW_SOCKETS);
+        List<KeptConnection> callers = new ArrayList<>();
+        for (int i = 0; i < FEW_CONNECTIONS; i++) {
+            KeptConnection caller = new KeptConnection(bed.front());
+            callers.add(caller);
+            caller.sendRaw(head(PLAIN) + "Content-Length: 2\r\n\r\nx");
+        }
+        bed.awaitOrdinaryAnswer();
+        for (KeptConnection caller : callers) {
+            caller.sendRaw("x");
+            assertThat(caller.read().status(), equalTo(OK));
+            caller.close();
+        }
+    }
+
     @Test
     void requestsThatAreNotAnsweredUseNoDescriptorsOfFiles() throws IOException {
         startRouter(MEMORY_MB, RouterMachine.FILE_DESCRIPTORS + FEW_SOCKETS);
