--- a/src/main/java/hyssopturn/node/CallerConnection.java
+++ b/src/main/java/hyssopturn/node/CallerConnection.java
@@ -14,7 +14,6 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponse;
@@ -24,7 +23,6 @@
 import io.netty.util.ReferenceCountUtil;
 
 import java.util.ArrayDeque;
-import java.util.Iterator;
 import java.util.Optional;
 import java.util.Queue;
 import java.util.function.Supplier;
@@ -43,15 +41,6 @@
     /** Memory of a connection on which nothing happens, in bytes. */
     private static final long CONNECTION_BYTES = 8_192;
 
-    /** Memory of a header line besides its bytes. */
-    private static final long LINE_BYTES = 200;
-
-    /** Copies of the bytes of a head: as they are read and as strings. */
-    private static final long HEAD_COPIES = 2;
-
-    /** What the limit of the configuration counts for a header line at least, in bytes. */
-    private static final long COUNTED_LINE_BYTES = 4;
-
     /** Bytes of a head or chunk that are decoded before their memory is counted. */
     private static final int SLICE_BYTES = 2_048;
 
@@ -77,6 +66,7 @@
     private final HttpRequestDecoder decoder;
     private final ReadPacer pacer;
     private final MemoryPart memory;
+    private final HeadMemory head = new HeadMemory();
     private final ReadSwitch reading = new ReadSwitch();
     private final UnsentBytes unsent;
     private final ChunkMerger merger = new ChunkMerger();
@@ -94,11 +84,6 @@
     private boolean restRefused;
     private boolean paced;
     private long bodyLeft;
-    private long openLines;
-    private long mixedLines;
-    private long openBytes;
-    private long headCost;
-    private long openCost;
     private long unsentCost;
     private long requestBytes;
     private long requestBegunNanos;
@@ -196,7 +181,7 @@
     }
 
     private long occupied() {
-        return CONNECTION_BYTES + headCost + openCost + unsentCost + waiting.capacity();
+        return CONNECTION_BYTES + head.bytes() + unsentCost + waiting.capacity();
     }
 
     /** Counts the memory of this connection, which exists already. */
@@ -333,14 +318,13 @@
         if (bodyLeft > 0) {
             int size = (int) Math.min(bytes.readableBytes(), bodyLeft);
             bytesContext.fireChannelRead(bytes.readRetainedSlice(size));
-            openBytes = 0;
+            head.bodyPassed();
             return;
         }
         int size = Math.min(bytes.readableBytes(), SLICE_BYTES);
         int lines = Pieces.lines(bytes, size);
-        openLines += lines;
-        openBytes += size;
-        if (!acquireOpen()) {
+        head.add(lines, size);
+        if (!acquire()) {
             refuseOpen(RawAnswer.UNAVAILABLE, "memory");
             return;
         }
@@ -351,25 +335,12 @@
         }
     }
 
-    /** Counts the memory of what is decoded next, since the decoder keeps what is incomplete. */
-    private boolean acquireOpen() {
-        openCost = openBytes * HEAD_COPIES + (openLines + mixedLines) * LINE_BYTES;
-        return acquire();
-    }
-
-    /**
-     * Bounds the lines of a head or trailer section that is incomplete. Bytes that completed a
-     * message may hold the beginning of the next one, so they count until they are followed by
-     * another one.
-     */
+    /** Counts what is complete, and bounds the lines of a section that is incomplete. */
     private void pieceDecoded(int lines, int size) {
         if (messageSeen) {
-            openLines = 0;
-            mixedLines = lines;
-            openBytes = size;
-            openCost = openBytes * HEAD_COPIES + mixedLines * LINE_BYTES;
+            head.messageCompleted(lines, size);
             occupy();
-        } else if (openLines * COUNTED_LINE_BYTES > limits.get().headerBytes()) {
+        } else if (head.exceeds(limits.get().headerBytes())) {
             refuseOpen(RawAnswer.TOO_LARGE, "lines");
         }
     }
@@ -458,8 +429,7 @@
     /** Counts the memory of a head; returns false if the request is refused. */
     private boolean beginRequest(HttpRequest request) {
         timeouts.headCompleted();
-        headCost = openBytes * HEAD_COPIES + lines(request.headers()) * LINE_BYTES;
-        openCost = 0;
+        head.headCompleted(request.headers());
         if (!acquire()) {
             refuse(RawAnswer.UNAVAILABLE, "memory");
             return false;
@@ -470,17 +440,6 @@
         return true;
     }
 
-    /** Returns the number of header lines; a map of Vert.x tells only how many names it has. */
-    private static int lines(HttpHeaders headers) {
-        int lines = 0;
-        Iterator<?> entries = headers.iteratorCharSequence();
-        while (entries.hasNext()) {
-            entries.next();
-            lines++;
-        }
-        return lines;
-    }
-
     private void endRequest(LastHttpContent last) {
         merger.flush(messageContext);
         timeouts.bodyCompleted();
@@ -489,7 +448,7 @@
             answerDue = true;
             decoder.setSingleDecode(true);
         } else {
-            headCost = 0;
+            head.requestEnded();
         }
         messageContext.fireChannelRead(last);
     }
@@ -502,7 +461,7 @@
         unsentCost = 0;
         uncountRequest();
         if (answerDue) {
-            headCost = 0;
+            head.requestEnded();
             answerDue = false;
             decoder.setSingleDecode(false);
         }
--- a/src/main/java/hyssopturn/node/UnsentBytes.java
+++ b/src/main/java/hyssopturn/node/UnsentBytes.java
@@ -40,7 +40,7 @@
     private long waitingBytes;
     private boolean draining;
 
-    private record Write(Object message, int bytes, ChannelPromise promise) {}
+    private record Write(Object message, ChannelPromise promise) {}
 
     /**
      * Creates a handler of a new connection.
@@ -71,13 +71,13 @@
 
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
-        int size = message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
+        int size = size(message);
         if (writes.isEmpty() && fits(size)) {
             handOn(message, size, promise);
             return;
         }
         waitingBytes += size;
-        writes.add(new Write(message, size, promise));
+        writes.add(new Write(message, promise));
         announceWaiting();
     }
 
@@ -124,6 +124,10 @@
         draining = false;
     }
 
+    private static int size(Object message) {
+        return message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
+    }
+
     /** Hands on the first message or a piece of it; returns false if nothing may be handed on. */
     private boolean drainFirst() {
         Write first = writes.element();
@@ -136,7 +140,7 @@
             handOn(bytes.readRetainedSlice(most), most, context.newPromise());
             return true;
         }
-        int size = first.message() instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
+        int size = size(first.message());
         writes.remove();
         waitingBytes -= size;
         handOn(first.message(), size, first.promise());
