--- a/src/main/java/hyssopturn/node/CallerConnections.java
+++ b/src/main/java/hyssopturn/node/CallerConnections.java
@@ -191,7 +191,9 @@
     /** Sets the receive buffers of a new connection, and of those that are not accepted yet. */
     private void limitUnread(Channel channel, Channel server, int open) {
         int bytes = receiveBuffers.next(open);
-        channel.config().setOption(ChannelOption.SO_RCVBUF, bytes);
+        if (channel.isOpen()) {
+            channel.config().setOption(ChannelOption.SO_RCVBUF, bytes);
+        }
         limitWaiting(server, bytes);
         long held = (long) bytes * ReceiveBuffers.HELD_PER_BYTE;
         mostUnreadBytes.addAndGet(held);
