--- a/src/test/java/hyssopturn/platform/SharedLoadNodesTest.java
+++ b/src/test/java/hyssopturn/platform/SharedLoadNodesTest.java
@@ -7,11 +7,13 @@
 import static org.hamcrest.Matchers.lessThan;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 import java.time.Duration;
 import java.util.Optional;
 
 /** Whole nodes tell each other their loads by real datagrams. */
+@Timeout(120)
 class SharedLoadNodesTest {
     private static final int NODES = 3;
     private static final int MAX_WAITS = 120;
