Names of accounts reach endpoints as UTF-8

Cause: the account's name was handed to the HTTP encoder as text, which writes the low byte of a character and a question mark above U+00FF.

HeaderText encodes the name as the UTF-8 bytes of the configuration: one to one on all text, and visible ASCII stays as it is. Accounts whose name no header can carry (a control character, a blank at an end, half a surrogate pair) are left out of the version with one Malformed line; their requests get 503 at once, and unknown keys still get 401.

--- a/src/main/java/hyssopturn/catalog/Catalog.java
+++ b/src/main/java/hyssopturn/catalog/Catalog.java
@@ -149,6 +149,16 @@
         return accounts.map(a -> a.get(key));
     }
 
+    /**
+     * Returns whether a request of which no account is known may belong to one.
+     *
+     * @param key key of the request, empty if it has none
+     * @return false if it certainly belongs to none
+     */
+    public boolean mayHaveAccount(Optional<String> key) {
+        return gaps.accounts() || key.filter(gaps.keys()::contains).isPresent();
+    }
+
     /**
      * Returns whether requests to a service may have different priorities.
      *
--- a/src/main/java/hyssopturn/catalog/CatalogGaps.java
+++ b/src/main/java/hyssopturn/catalog/CatalogGaps.java
@@ -8,15 +8,21 @@
  * @param allRoutes true if the routes of an older version stand for those of this one
  * @param routes routes of which no readable form is known
  * @param accounts true if there may be accounts that are not known
+ * @param keys keys of accounts that are known and cannot be used
  * @param services true if there may be services that are not known
  */
 public record CatalogGaps(
-        boolean allRoutes, Set<RouteKey> routes, boolean accounts, boolean services) {
+        boolean allRoutes,
+        Set<RouteKey> routes,
+        boolean accounts,
+        Set<String> keys,
+        boolean services) {
     /** A version that was read completely. */
-    public static final CatalogGaps NONE = new CatalogGaps(false, Set.of(), false, false);
+    public static final CatalogGaps NONE = new CatalogGaps(false, Set.of(), false, Set.of(), false);
 
-    /** Copies the set of routes. */
+    /** Copies the sets. */
     public CatalogGaps {
         routes = Set.copyOf(routes);
+        keys = Set.copyOf(keys);
     }
 }
--- a/src/main/java/hyssopturn/platform/CatalogDecoder.java
+++ b/src/main/java/hyssopturn/platform/CatalogDecoder.java
@@ -47,6 +47,7 @@
     private final Set<RouteKey> unreadableRoutes = new HashSet<>();
     private boolean oldRoutes;
     private boolean routesUnreadable;
+    private final Set<String> unusableKeys = new HashSet<>();
     private boolean accountsUnreadable;
     private boolean servicesUnreadable;
 
@@ -82,7 +83,11 @@
         reportPriorities("Tenants");
         CatalogGaps gaps =
                 new CatalogGaps(
-                        routesUnreadable, unreadableRoutes, accountsUnreadable, servicesUnreadable);
+                        routesUnreadable,
+                        unreadableRoutes,
+                        accountsUnreadable,
+                        unusableKeys,
+                        servicesUnreadable);
         return new CatalogReading(
                 new Catalog(version, routes, services, accounts, limits, gaps), unreadable);
     }
@@ -183,8 +188,20 @@
         return Optional.of(accounts);
     }
 
-    private static void addKeys(JsonNode node, Map<String, Account> accounts) {
+    /** Adds the keys of an account; endpoints cannot be told a name that no header carries. */
+    private void addKeys(JsonNode node, Map<String, Account> accounts) {
         Account account = new Account(text(node, "Name"), CatalogEntries.priority(node));
+        List<String> keys = keys(node);
+        if (HeaderText.encode(account.name()).isEmpty()) {
+            unusableKeys.addAll(keys);
+            unreadable.add("account " + shortName(node) + ": Name cannot be sent in a header");
+            return;
+        }
+        keys.forEach(key -> accounts.put(key, account));
+    }
+
+    private static List<String> keys(JsonNode node) {
+        List<String> texts = new ArrayList<>();
         JsonNode keys = node.path("ApiKeys");
         if (!keys.isArray() && !keys.isMissingNode()) {
             throw new JsonValue.MalformedException("ApiKeys must be an array");
@@ -193,8 +210,9 @@
             if (!key.isTextual() || key.asText().isBlank()) {
                 throw new JsonValue.MalformedException("ApiKeys must be strings");
             }
-            accounts.put(key.asText(), account);
+            texts.add(key.asText());
         }
+        return texts;
     }
 
     private CallerLimits limits() {
--- a/src/main/java/hyssopturn/platform/PlatformHeaders.java
+++ b/src/main/java/hyssopturn/platform/PlatformHeaders.java
@@ -1,5 +1,6 @@
 package hyssopturn.platform;
 
+import hyssopturn.catalog.Account;
 import hyssopturn.chain.EngineChain;
 import hyssopturn.helper.InvalidArgumentException;
 import hyssopturn.limit.LimitNotice;
@@ -137,12 +138,17 @@
         to.set(HOST, from.get(HOST));
         to.set(DEADLINE, String.valueOf(Math.max(1, offer.timeout().toMillis())));
         to.set(EXPECTED_INSTANCE, offer.endpoint().id().value());
-        offer.account().ifPresent(a -> to.set(ACCOUNT, a.name()));
+        offer.account().ifPresent(a -> to.set(ACCOUNT, accountName(a)));
         offer.chain().ifPresent(c -> to.set(CHAIN, chain(c)));
         offer.priority().ifPresent(p -> to.set(PRIORITY, String.valueOf(p)));
         offer.resumeAfter().ifPresent(id -> to.set(LAST_EVENT_ID, String.valueOf(id)));
     }
 
+    private static String accountName(Account account) {
+        return HeaderText.encode(account.name())
+                .orElseThrow(() -> new InvalidArgumentException("account name cannot be sent"));
+    }
+
     private static String chain(EngineChain chain) {
         return chain.hops().stream()
                 .map(hop -> hop.engine().address() + "=" + hop.range())
--- a/src/main/java/hyssopturn/relay/Relay.java
+++ b/src/main/java/hyssopturn/relay/Relay.java
@@ -249,7 +249,7 @@
         CallHeaders headers = context.headerCodec().decode(request.headers());
         Optional<Account> account = headers.key().flatMap(catalog::account);
         if (account.isEmpty() && catalog.hasAccounts() && !route.get().anonymous()) {
-            boolean unread = catalog.gaps().accounts();
+            boolean unread = catalog.mayHaveAccount(headers.key());
             refuse(request, statusIfMissing(UNAUTHORIZED, unread, now), "no account", arrivedNanos);
             return;
         }
@@ -269,6 +269,9 @@
      * may exist there.
      */
     private int statusIfMissing(int status, boolean unread, long now) {
+        if (unread) {
+            context.meters().counter("hyssopturn.config.unreadable.refusals").increment();
+        }
         return !unread && context.routingState().fresh(now) ? status : Call.UNAVAILABLE;
     }
 
--- a/src/test/java/hyssopturn/platform/RawServer.java
+++ b/src/test/java/hyssopturn/platform/RawServer.java
@@ -8,6 +8,7 @@
 import io.vertx.core.internal.net.NetSocketInternal;
 import io.vertx.core.net.NetSocket;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -47,7 +48,7 @@
     private void accept(NetSocket socket) {
         socket.handler(
                 request -> {
-                    requests.add(request.toString());
+                    requests.add(request.toString(StandardCharsets.ISO_8859_1));
                     socket.write(answer).onSuccess(v -> finish(socket));
                 });
     }
@@ -76,6 +77,11 @@
         answer = next;
     }
 
+    /** Returns the bytes that were read at a time, one character for each byte. */
+    List<String> requests() {
+        return List.copyOf(requests);
+    }
+
     /** Returns the number of requests. */
     int requestCount() {
         return requests.size();
--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -15,12 +15,8 @@
 import hyssopturn.quarantine.PromptGuard;
 import hyssopturn.quarantine.PromptQuarantine;
 import hyssopturn.relay.AnswerMemory;
-import hyssopturn.relay.Attempt;
 import hyssopturn.relay.BodyMemory;
-import hyssopturn.relay.CallHeaders;
 import hyssopturn.relay.EndpointNotices;
-import hyssopturn.relay.EndpointReply;
-import hyssopturn.relay.HeaderCodec;
 import hyssopturn.relay.LoopLag;
 import hyssopturn.relay.Relay;
 import hyssopturn.relay.RelayContext;
@@ -95,6 +91,7 @@
     private final RoutingState knowledge = new RoutingState();
     private final EngineLoad load = new EngineLoad(loadNoise(), 10);
     private final PlatformHeaders platformHeaders = new PlatformHeaders(new SimpleMeterRegistry());
+    private final FaultyHeaders headers = new FaultyHeaders(platformHeaders);
     private final AnswerMemory answerMemory = new AnswerMemory(ANSWER_MEMORY_BYTES);
     private final BodyMemory bodyMemory = new BodyMemory(BODY_MEMORY_BYTES);
     private final RetryBudget retryBudget =
@@ -108,7 +105,7 @@
     private final Map<String, Endpoint> announced = new HashMap<>();
     private volatile Runnable onFirstEvent = () -> {};
     private final AdjustableClock clock = new AdjustableClock(vertx);
-    private volatile boolean decodingFails;
+    private long configVersion = RelayHarnessConfig.FIRST_VERSION;
     private volatile boolean chainSearchFails;
     private final List<TraceEvent> events = Collections.synchronizedList(new ArrayList<>());
 
@@ -133,7 +130,7 @@
         RelayContext parts =
                 new RelayContext(
                         knowledge,
-                        headers(),
+                        headers,
                         client,
                         clock,
                         new SplittableRandom(1),
@@ -181,35 +178,6 @@
         port = server.listen(0, HOST).await().actualPort();
     }
 
-    /** Decodes and encodes as the platform does, unless a test lets the decoding fail. */
-    private HeaderCodec headers() {
-        PlatformHeaders platform = platformHeaders;
-        return new HeaderCodec() {
-            @Override
-            public CallHeaders decode(MultiMap headers) {
-                if (decodingFails) {
-                    throw new IllegalStateException("unexpected");
-                }
-                return platform.decode(headers);
-            }
-
-            @Override
-            public Optional<String> key(MultiMap headers) {
-                return platform.key(headers);
-            }
-
-            @Override
-            public void encode(MultiMap from, MultiMap to, Attempt attempt) {
-                platform.encode(from, to, attempt);
-            }
-
-            @Override
-            public EndpointReply decodeReply(int status, MultiMap headers) {
-                return platform.decodeReply(status, headers);
-            }
-        };
-    }
-
     private RandomGenerator loadNoise() {
         SplittableRandom noise = new SplittableRandom(1);
         return () -> {
@@ -264,7 +232,7 @@
 
     /** Sets whether decoding the headers of requests fails with an unexpected error. */
     void decodingFails(boolean fails) {
-        decodingFails = fails;
+        headers.decodingFails(fails);
     }
 
     /** Puts the configuration into force. */
@@ -272,6 +240,12 @@
         onLoop(() -> knowledge.update(RelayHarnessConfig.catalog()));
     }
 
+    /** Puts the next version of the configuration into force, with other client accounts. */
+    void configureAccounts(String accounts) {
+        Catalog next = RelayHarnessConfig.catalog(++configVersion, accounts);
+        onLoop(() -> knowledge.update(next));
+    }
+
     /** Advances time so that the configuration is no longer known to be up to date. */
     void expireConfirmation() {
         clock.advance(RoutingState.MAX_FRESH_AGE);
--- a/src/test/java/hyssopturn/platform/RelayHarnessConfig.java
+++ b/src/test/java/hyssopturn/platform/RelayHarnessConfig.java
@@ -7,9 +7,11 @@
 
 /** Configuration of the test harness: routes of each kind to a plain service and to engines. */
 final class RelayHarnessConfig {
+    static final long FIRST_VERSION = 7;
+
     private static final String TEXT =
             """
-            {"Version":7,"Routes":[
+            {"Version":%d,"Routes":[
              {"Name":"w","Host":"town.example","PathPrefix":"/write/","Type":"streaming",
               "TimeoutMs":20000,"TargetLatencyMs":500,"Service":"writers","MaxAttempts":2,
               "StreamResume":true,"GapAimMs":200},
@@ -33,12 +35,23 @@
               "Kinds":[{"Name":"k","SizeMb":1000.0,"pace":1.0,"ReadX":1.0}],
               "Models":[{"Name":"m","LoadS":1.0}]}}],
              "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"IdleTimeoutMs":15000},
-             "Tenants":[{"Name":"ann","ApiKeys":["key-1"]}]}
+             "Tenants":%s}
             """;
 
     private RelayHarnessConfig() {}
 
     static Catalog catalog() {
-        return CatalogDecoder.decode(Bytes.utf8(TEXT), Optional.empty()).catalog();
+        return catalog(FIRST_VERSION, "[" + Configs.ACCOUNT + "]");
+    }
+
+    /**
+     * Returns a configuration with other client accounts.
+     *
+     * @param version version of the configuration
+     * @param accounts JSON array of the accounts
+     */
+    static Catalog catalog(long version, String accounts) {
+        Bytes text = Bytes.utf8(TEXT.formatted(version, accounts));
+        return CatalogDecoder.decode(text, Optional.empty()).catalog();
     }
 }
