A request that cannot be encoded does not exclude its endpoints

Callers of one account or request got 503, and meanwhile other callers found no endpoint: each endpoint at which such a request was tried counted as refusing connections.

Cause: Call.openFailed takes every error of opening a request for a refused connection, also one of writing the request's head (seen with an account name that has a line break, in the review's report).

Such a request ends at once with 400 and a counter; nothing is noted about the endpoint.

--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -16,8 +16,6 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
-import io.vertx.core.http.RequestOptions;
-import io.vertx.core.net.SocketAddress;
 
 import java.time.Duration;
 import java.util.HashSet;
@@ -33,6 +31,7 @@
 abstract class Call {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+    static final int BAD_REQUEST = 400;
     static final int INTERNAL_ERROR = 500;
     static final int BAD_GATEWAY = 502;
     static final int UNAVAILABLE = 503;
@@ -57,6 +56,7 @@
     final HttpServerResponse response;
     final Admitted admitted;
     private final EndpointChecks checks;
+    private final AttemptOpener opener;
     final Set<InstanceId> excluded = new HashSet<>();
     private final AttemptedEndpoints attemptedEndpoints = new AttemptedEndpoints();
     private int attempts;
@@ -81,6 +81,7 @@
         this.request = request;
         this.response = request.response();
         this.admitted = admitted;
+        opener = new AttemptOpener(context, request, admitted);
         deadlineTimer = context.clock().after(timeToAnswer(), this::answerDue);
         response.closeHandler(v -> callerDisconnected());
         response.exceptionHandler(e -> callerDisconnected());
@@ -190,39 +191,19 @@
                 .compose(
                         granted ->
                                 granted && !ended
-                                        ? open(attempt)
+                                        ? opener.open(attempt, attempts)
                                         : Future.failedFuture(new LimitReachedException()));
     }
 
-    private Future<HttpClientRequest> open(Attempt attempt) {
-        context.trace()
-                .record(
-                        attempt.offered(
-                                attempts,
-                                admitted,
-                                context.settings().zone(),
-                                Math.round(context.load().zoneTokens())));
-        RequestOptions options =
-                new RequestOptions()
-                        .setMethod(request.method())
-                        .setURI(request.uri())
-                        .setConnectTimeout(context.settings().connectTimeout().toMillis())
-                        .setServer(
-                                SocketAddress.inetSocketAddress(
-                                        attempt.endpoint().address().port(),
-                                        attempt.endpoint().address().host()))
-                        .setHost(attempt.endpoint().address().host())
-                        .setPort(attempt.endpoint().address().port());
-        return context.client().request(options).map(r -> prepare(r, attempt));
-    }
-
-    private HttpClientRequest prepare(HttpClientRequest opened, Attempt attempt) {
-        opened.exceptionHandler(
-                e -> {
-                    // the future of the answer fails as well, and its handler deals with the error
-                });
-        context.headerCodec().encode(request.headers(), opened.headers(), attempt);
-        return opened;
+    /** Ends a request whose head cannot be encoded, which shows nothing about the endpoint. */
+    final void refuseUnsendable(Endpoint endpoint) {
+        withdraw(endpoint);
+        context.meters().counter("hyssopturn.requests.unsendable").increment();
+        respond(
+                BAD_REQUEST,
+                "head cannot be encoded",
+                "refused",
+                MultiMap.caseInsensitiveMultiMap());
     }
 
     /** Returns whether the route, and the endpoint's limit, allow an attempt at the endpoint. */
--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -98,6 +98,10 @@
             return;
         }
         remove(attempt, Outcome.NONE);
+        if (error instanceof UnsendableRequestException) {
+            refuseUnsendable(attempt.endpoint());
+            return;
+        }
         openFailed(attempt.endpoint(), error);
         if (remaining().toMillis() > 0) {
             attempt();
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -269,6 +269,10 @@
         if (stale(attempt)) {
             return;
         }
+        if (error instanceof UnsendableRequestException) {
+            refuseUnsendable(attempt.first());
+            return;
+        }
         openFailed(attempt.first(), error);
         leaveUnsent(attempt);
     }
--- a/src/test/java/hyssopturn/platform/MalformedRequestTest.java
+++ b/src/test/java/hyssopturn/platform/MalformedRequestTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.not;
 
 import org.junit.jupiter.api.AfterEach;
@@ -9,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import java.util.List;
 import java.util.Map;
@@ -18,6 +20,8 @@
 /** Requests whose headers have values that no sound caller sends. */
 class MalformedRequestTest {
     private static final String EVENTS = "id: 0\ndata: t\n\n";
+    private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
     private static final int INTERNAL_ERROR = 500;
     private static final int ANSWER_SECONDS = 5;
     private static final long DEADLINE_MILLIS = 200;
@@ -61,6 +65,18 @@
         assertThat(harness.call("/write/x", Map.of()).body(), equalTo(EVENTS));
     }
 
+    /** Guards against endpoints that count as failed since a request cannot be encoded. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/look/x", "/write/x"})
+    void headThatCannotBeEncodedLeavesEndpointsInUse(String path) {
+        harness.encodingFails(true);
+        assertThat(harness.call(path, Map.of()).status(), equalTo(BAD_REQUEST));
+        harness.encodingFails(false);
+        assertThat(harness.statesOf("s1"), hasSize(0));
+        assertThat(harness.statesOf("e1"), hasSize(0));
+        assertThat(harness.call(path, Map.of()).status(), equalTo(OK));
+    }
+
     @Test
     void unexpectedErrorEndsOneRequestWithAnAnswer() {
         harness.decodingFails(true);
--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -235,6 +235,11 @@
         headers.decodingFails(fails);
     }
 
+    /** Sets whether no request to an endpoint can be encoded. */
+    void encodingFails(boolean fails) {
+        headers.encodingFails(fails);
+    }
+
     /** Puts the configuration into force. */
     void configure() {
         onLoop(() -> knowledge.update(RelayHarnessConfig.catalog()));
@@ -246,6 +251,11 @@
         onLoop(() -> knowledge.update(next));
     }
 
+    /** Puts a configuration into force. */
+    void configure(String text) {
+        onLoop(() -> knowledge.update(RelayHarnessConfig.decode(text)));
+    }
+
     /** Advances time so that the configuration is no longer known to be up to date. */
     void expireConfirmation() {
         clock.advance(RoutingState.MAX_FRESH_AGE);
