Targets of requests reach endpoints byte by byte

Cause: the HTTP decoder reads each byte as a character, and the encoder writes each character as UTF-8.

RequestTarget reads the bytes as UTF-8, so that the encoder writes the same bytes again, and routes compare text with text. The encoder cannot write other bytes; such a target, which HTTP does not allow, gets 400 and is not run.

--- a/src/main/java/hyssopturn/platform/HeaderText.java
+++ b/src/main/java/hyssopturn/platform/HeaderText.java
@@ -1,9 +1,7 @@
 package hyssopturn.platform;
 
-import java.nio.ByteBuffer;
-import java.nio.CharBuffer;
-import java.nio.charset.CharacterCodingException;
-import java.nio.charset.StandardCharsets;
+import hyssopturn.helper.Octets;
+
 import java.util.Optional;
 import java.util.regex.Pattern;
 
@@ -35,12 +33,6 @@
         if (!SENDABLE.matcher(text).matches()) {
             return Optional.empty();
         }
-        try {
-            ByteBuffer bytes = StandardCharsets.UTF_8.newEncoder().encode(CharBuffer.wrap(text));
-            return Optional.of(StandardCharsets.ISO_8859_1.decode(bytes).toString());
-        } catch (CharacterCodingException e) {
-            // an unpaired surrogate is no character
-            return Optional.empty();
-        }
+        return Octets.ofText(text);
     }
 }
--- a/src/main/java/hyssopturn/relay/AttemptOpener.java
+++ b/src/main/java/hyssopturn/relay/AttemptOpener.java
@@ -51,7 +51,7 @@
         Address address = attempt.endpoint().address();
         return new RequestOptions()
                 .setMethod(request.method())
-                .setURI(request.uri())
+                .setURI(RequestTarget.of(request).orElseThrow().uri())
                 .setConnectTimeout(context.settings().connectTimeout().toMillis())
                 .setServer(SocketAddress.inetSocketAddress(address.port(), address.host()))
                 .setHost(address.host())
--- a/src/main/java/hyssopturn/relay/Relay.java
+++ b/src/main/java/hyssopturn/relay/Relay.java
@@ -238,11 +238,17 @@
             refuse(request, Call.UNAVAILABLE, "no configuration", arrivedNanos);
             return;
         }
+        Optional<RequestTarget> target = RequestTarget.of(request);
+        if (target.isEmpty()) {
+            refuse(request, Call.BAD_REQUEST, "malformed target", arrivedNanos);
+            return;
+        }
+        String path = target.get().path();
         Catalog catalog = known.get();
         String host = Optional.ofNullable(request.getHeader("Host")).orElse("");
-        Optional<Route> route = catalog.route(host, request.path());
+        Optional<Route> route = catalog.route(host, path);
         if (route.isEmpty()) {
-            boolean unread = catalog.mayHaveRoute(host, request.path());
+            boolean unread = catalog.mayHaveRoute(host, path);
             refuse(request, statusIfMissing(NOT_FOUND, unread, now), "no route", arrivedNanos);
             return;
         }
--- a/src/test/java/hyssopturn/platform/RelayHarnessConfig.java
+++ b/src/test/java/hyssopturn/platform/RelayHarnessConfig.java
@@ -44,6 +44,16 @@
         return catalog(FIRST_VERSION, "[" + Configs.ACCOUNT + "]");
     }
 
+    /** Returns a configuration of the version after the first one, as JSON. */
+    static String text() {
+        return TEXT.formatted(FIRST_VERSION + 1, "[" + Configs.ACCOUNT + "]");
+    }
+
+    /** Decodes a configuration. */
+    static Catalog decode(String text) {
+        return CatalogDecoder.decode(Bytes.utf8(text), Optional.empty()).catalog();
+    }
+
     /**
      * Returns a configuration with other client accounts.
      *
@@ -51,7 +61,6 @@
      * @param accounts JSON array of the accounts
      */
     static Catalog catalog(long version, String accounts) {
-        Bytes text = Bytes.utf8(TEXT.formatted(version, accounts));
-        return CatalogDecoder.decode(text, Optional.empty()).catalog();
+        return decode(TEXT.formatted(version, accounts));
     }
 }
