Keys beyond ASCII are found

A caller whose key is not ASCII got 401 although the configuration has it.

Cause: as for names of accounts, a header is bytes and the configuration is text; the bytes of a key were compared as ISO 8859-1. Evidence: AccountNamesTest.areFoundByKeysOfAnyCharacters, 3 of 3 cases fail on the code before.

Keys are read as UTF-8, and as before if they are not valid UTF-8.

--- a/src/main/java/hyssopturn/platform/PlatformHeaders.java
+++ b/src/main/java/hyssopturn/platform/PlatformHeaders.java
@@ -3,6 +3,7 @@
 import hyssopturn.catalog.Account;
 import hyssopturn.chain.EngineChain;
 import hyssopturn.helper.InvalidArgumentException;
+import hyssopturn.helper.Octets;
 import hyssopturn.limit.LimitNotice;
 import hyssopturn.model.Address;
 import hyssopturn.model.PromptPart;
@@ -76,7 +77,7 @@
 
     @Override
     public Optional<String> key(MultiMap headers) {
-        return Optional.ofNullable(headers.get(API_KEY));
+        return Optional.ofNullable(headers.get(API_KEY)).map(k -> Octets.toText(k).orElse(k));
     }
 
     @Override
--- a/src/test/java/hyssopturn/platform/AccountNamesTest.java
+++ b/src/test/java/hyssopturn/platform/AccountNamesTest.java
@@ -30,6 +30,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
@@ -124,6 +125,23 @@
             assertThat(names.get(0), not(equalTo(names.get(1))));
         }
 
+        /** Guards against keys that are refused since they are not ASCII. */
+        @ParameterizedTest
+        @ValueSource(strings = {"\u043a\u043b\u044e\u0447", "cl\u00e9", "\ud83e\udd8b"})
+        void areFoundByKeysOfAnyCharacters(String key) throws IOException {
+            start("a", FOUND, Optional.empty());
+            harness.configureAccounts(accountArray("ann", key));
+            byte[] bytes = key.getBytes(StandardCharsets.UTF_8);
+            try (KeptConnection caller = new KeptConnection(harness.front())) {
+                caller.sendRaw(
+                        caller.request("POST", "/look/x", "", "x")
+                                .replace(
+                                        Configs.KEY,
+                                        new String(bytes, StandardCharsets.ISO_8859_1)));
+                assertThat(caller.read().status(), equalTo(OK));
+            }
+        }
+
         @ParameterizedTest
         @ValueSource(
                 strings = {
