A reset that a write notices does not complete an answer

Cause: Netty closes a connection at a failed write without an error for the reader, drops the bytes that wait to be read, and the decoder ends an answer without a length then.

WriteFailureHandler stands in front of the decoder in every HTTP client. A failed write ends only the sending half of a connection; it is read to its end, and there the reader gets an error before the decoder ends the answer. So one place answers for plain answers, streams, calls to engines and the store, and the older path. An answer that is whole by its length or chunks has ended by then.

--- a/src/main/java/hyssopturn/node/HttpClients.java
+++ b/src/main/java/hyssopturn/node/HttpClients.java
@@ -1,5 +1,9 @@
 package hyssopturn.node;
 
+import hyssopturn.wire.WriteFailureHandler;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
 import io.netty.channel.Channel;
 import io.netty.channel.WriteBufferWaterMark;
 import io.vertx.core.Vertx;
@@ -14,46 +18,68 @@
 
 /** Creates the HTTP clients with which a node calls endpoints and the log store. */
 final class HttpClients {
+    private static final String WRITE_FAILURES = "hyssopturn.connection.write.failures";
+
     /** Maximum size of the header section of a response. */
     private static final int MAX_HEADER_BYTES = 32_768;
 
-    private HttpClients() {}
+    private final Vertx vertx;
+    private final MeterRegistry meters;
+
+    /**
+     * Creates a factory.
+     *
+     * @param vertx event loop of all clients
+     * @param meters registry for the counters of failed connections
+     */
+    HttpClients(Vertx vertx, MeterRegistry meters) {
+        this.vertx = vertx;
+        this.meters = meters;
+    }
 
     /**
-     * Creates a client without keep-alive: a pooled connection may have been lost without any
-     * notification, so each connection serves one call.
+     * Creates a client for the log store, without keep-alive: a pooled connection may have been
+     * lost without any notification, so each connection serves one call.
      *
      * <p>The timeout bounds the connection attempt itself, not only the call that waits for it. An
      * attempt whose SYN packet is lost would otherwise occupy its slot in the pool of that address
      * while the operating system retransmits the packet with exponential backoff, and calls made
      * after the address is reachable again would queue behind it.
      *
-     * @param vertx event loop
      * @param connections maximum number of connections to an address
      * @param connectTimeout connect timeout
      * @return the client
      */
-    static HttpClient withoutKeepAlive(Vertx vertx, int connections, Duration connectTimeout) {
-        return builder(vertx, connections, connectTimeout).build();
+    HttpClient forStore(int connections, Duration connectTimeout) {
+        return builder(connections, connectTimeout)
+                .withConnectHandler(connection -> watch(connection, "store"))
+                .build();
     }
 
     /**
-     * Creates a client without keep-alive whose long requests wait in the heap until their
-     * receivers read them.
+     * Creates a client for endpoints, without keep-alive, whose long requests wait in the heap
+     * until their receivers read them.
      *
-     * @param vertx event loop
      * @param connections maximum number of connections to an address
      * @param connectTimeout connect timeout
      * @param memory direct memory of all connections
      * @return the client
      */
-    static HttpClient forLongRequests(
-            Vertx vertx, int connections, Duration connectTimeout, WriteMemory memory) {
-        return builder(vertx, connections, connectTimeout)
-                .withConnectHandler(connection -> keepUnsent(connection, memory))
+    HttpClient forEndpoints(int connections, Duration connectTimeout, WriteMemory memory) {
+        return builder(connections, connectTimeout)
+                .withConnectHandler(
+                        connection -> {
+                            watch(connection, "endpoint");
+                            keepUnsent(connection, memory);
+                        })
                 .build();
     }
 
+    private void watch(HttpConnection connection, String callee) {
+        Counter failures = meters.counter(WRITE_FAILURES, "callee", callee);
+        WriteFailureHandler.watch(connection, failures::increment);
+    }
+
     private static void keepUnsent(HttpConnection connection, WriteMemory memory) {
         Channel channel = ((ConnectionBase) connection).channel();
         channel.config()
@@ -62,8 +88,7 @@
         channel.pipeline().addFirst(new UnsentBytes(memory, () -> {}));
     }
 
-    private static HttpClientBuilder builder(
-            Vertx vertx, int connections, Duration connectTimeout) {
+    private HttpClientBuilder builder(int connections, Duration connectTimeout) {
         HttpClientOptions options =
                 new HttpClientOptions()
                         .setKeepAlive(false)
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -113,9 +113,9 @@
         load = new EngineLoad(random, nodesInZone(settings.nodes()), loads.own(), loads.view());
         pipes = new InterZoneBudget(settings.nodes());
         WriteMemory writeMemory = writeMemory();
+        HttpClients clients = new HttpClients(vertx, meters);
         HttpClient endpointClient =
-                HttpClients.forLongRequests(
-                        vertx, ENDPOINT_CONNECTIONS, settings.connectTimeout(), writeMemory);
+                clients.forEndpoints(ENDPOINT_CONNECTIONS, settings.connectTimeout(), writeMemory);
         AnswerMemory answerMemory = answerMemory();
         CallerMemory callerMemory =
                 new CallerMemory(settings.callers().memoryBytes(memory.heapBytes()));
@@ -123,7 +123,7 @@
         limits = limits(random);
         EndpointNotices notices =
                 new EndpointNotices(knowledge.roster(), limits, clock, trace, meters);
-        PlatformAdapter adapter = adapter(endpointClient, answerMemory, notices);
+        PlatformAdapter adapter = adapter(clients, endpointClient, answerMemory, notices);
         FaultReporter faultReporter =
                 new FaultReporter(
                         adapter.log(), knowledge.roster(), clock, trace, platform.node(), random);
@@ -174,9 +174,11 @@
     }
 
     private PlatformAdapter adapter(
-            HttpClient endpointClient, AnswerMemory answerMemory, EndpointNotices notices) {
-        HttpClient storeClient =
-                HttpClients.withoutKeepAlive(vertx, STORE_CONNECTIONS, STORE_CONNECT_TIMEOUT);
+            HttpClients clients,
+            HttpClient endpointClient,
+            AnswerMemory answerMemory,
+            EndpointNotices notices) {
+        HttpClient storeClient = clients.forStore(STORE_CONNECTIONS, STORE_CONNECT_TIMEOUT);
         return new PlatformAdapter(
                 platform, storeClient, endpointClient, clock, answerMemory, notices, meters);
     }
--- a/src/main/java/hyssopturn/wire/ConnectionPools.java
+++ b/src/main/java/hyssopturn/wire/ConnectionPools.java
@@ -102,8 +102,11 @@
     }
 
     private HttpClient client(HttpClientOptions clientOptions) {
-        return vertx.createHttpClient(
-                clientOptions, new PoolOptions().setHttp1MaxSize(POOL_PER_HOST));
+        return vertx.httpClientBuilder()
+                .with(clientOptions)
+                .with(new PoolOptions().setHttp1MaxSize(POOL_PER_HOST))
+                .withConnectHandler(connection -> WriteFailureHandler.watch(connection, () -> {}))
+                .build();
     }
 
     /**
--- a/src/test/java/hyssopturn/node/HttpClientsTest.java
+++ b/src/test/java/hyssopturn/node/HttpClientsTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.equalTo;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpClient;
@@ -51,7 +52,8 @@
 
     @Test
     void aTimedOutConnectionAttemptReleasesItsSocket() throws Exception {
-        HttpClient client = HttpClients.withoutKeepAlive(vertx, 1, CONNECT_TIMEOUT);
+        HttpClient client =
+                new HttpClients(vertx, new SimpleMeterRegistry()).forStore(1, CONNECT_TIMEOUT);
         assertThrows(Exception.class, () -> call(client));
         Thread.sleep(CLEANUP_WAIT);
         assertThat(countInSynSent(), equalTo(0L));
--- a/src/test/java/hyssopturn/platform/ForwardedBytesTest.java
+++ b/src/test/java/hyssopturn/platform/ForwardedBytesTest.java
@@ -91,7 +91,7 @@
     @Test
     void ofAPathAreComparedWithThePrefixesOfTheConfiguration() throws IOException {
         harness.configure(
-                RelayHarnessConfig.text().replace("/look/", "/\u0441\u043a\u043b\u0430\u0434/"));
+                RelayHarnessConfig.withPrefix("/look/", "/\u0441\u043a\u043b\u0430\u0434/"));
         assertThat(send(utf8("/\u0441\u043a\u043b\u0430\u0434/x"), "", "x"), equalTo(OK));
         assertThat(send("/look/x", "", "x"), equalTo(NOT_FOUND));
     }
--- a/src/test/java/hyssopturn/platform/KeptConnection.java
+++ b/src/test/java/hyssopturn/platform/KeptConnection.java
@@ -120,6 +120,12 @@
         return new Answer(status, head, skipBody(head.toLowerCase(Locale.ROOT)));
     }
 
+    /** Reads one answer that has no body whatever its headers say. */
+    Answer readWithoutBody() throws IOException {
+        String head = readHead();
+        return new Answer(Integer.parseInt(head.split(" ", 3)[1]), head, 0);
+    }
+
     private String readHead() throws IOException {
         ByteArrayOutputStream head = new ByteArrayOutputStream();
         while (true) {
--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -25,6 +25,7 @@
 import hyssopturn.relay.RoutingState;
 import hyssopturn.trace.TraceEvent;
 import hyssopturn.trace.TraceLog;
+import hyssopturn.wire.WriteFailureHandler;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.vertx.core.Future;
@@ -81,13 +82,14 @@
     /** Connections to each server, of callers and of the relay. */
     private static final int MAX_CONNECTIONS = 200;
 
+    /** Size of small send buffers. */
+    private static final int SEND_BUFFER_BYTES = 16_384;
+
     private static final String HOST = "127.0.0.1";
 
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
-    private final HttpClient client =
-            vertx.createHttpClient(
-                    new HttpClientOptions().setKeepAlive(false),
-                    new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
+    private final AtomicInteger writeFailures = new AtomicInteger();
+    private final HttpClient client;
     private final RoutingState knowledge = new RoutingState();
     private final EngineLoad load = new EngineLoad(loadNoise(), 10);
     private final PlatformHeaders platformHeaders = new PlatformHeaders(new SimpleMeterRegistry());
@@ -116,8 +118,24 @@
         this(true);
     }
 
+    /** Starts a relay whose long requests do not fit into the kernel's buffers. */
+    static RelayHarness withSmallSendBuffers() {
+        return new RelayHarness(true, new HttpClientOptions().setSendBufferSize(SEND_BUFFER_BYTES));
+    }
+
     /** Starts a relay with or without a configuration. */
     RelayHarness(boolean configured) {
+        this(configured, new HttpClientOptions());
+    }
+
+    private RelayHarness(boolean configured, HttpClientOptions options) {
+        client =
+                vertx.httpClientBuilder()
+                        .with(options.setKeepAlive(false))
+                        .with(new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS))
+                        .withConnectHandler(
+                                c -> WriteFailureHandler.watch(c, writeFailures::incrementAndGet))
+                        .build();
         trace = new TraceLog("test", clock, OutputStream.nullOutputStream(), 1_000, events::add);
         EndpointLimits limits = SoleIssuer.limits(clock);
         EndpointNotices notices =
@@ -240,20 +258,14 @@
         headers.encodingFails(fails);
     }
 
-    /** Puts the configuration into force. */
-    void configure() {
-        onLoop(() -> knowledge.update(RelayHarnessConfig.catalog()));
-    }
-
     /** Puts the next version of the configuration into force, with other client accounts. */
     void configureAccounts(String accounts) {
-        Catalog next = RelayHarnessConfig.catalog(++configVersion, accounts);
-        onLoop(() -> knowledge.update(next));
+        configure(RelayHarnessConfig.catalog(++configVersion, accounts));
     }
 
     /** Puts a configuration into force. */
-    void configure(String text) {
-        onLoop(() -> knowledge.update(RelayHarnessConfig.decode(text)));
+    void configure(Catalog next) {
+        onLoop(() -> knowledge.update(next));
     }
 
     /** Advances time so that the configuration is no longer known to be up to date. */
@@ -470,6 +482,11 @@
         return announced.get(id).address();
     }
 
+    /** Returns the number of connections that failed while a request was written. */
+    int writeFailures() {
+        return writeFailures.get();
+    }
+
     /** Returns the ids of the requests that reached workers. */
     List<String> requestIds() {
         return List.copyOf(requestIds);
--- a/src/test/java/hyssopturn/platform/RelayHarnessConfig.java
+++ b/src/test/java/hyssopturn/platform/RelayHarnessConfig.java
@@ -44,13 +44,13 @@
         return catalog(FIRST_VERSION, "[" + Configs.ACCOUNT + "]");
     }
 
-    /** Returns a configuration of the version after the first one, as JSON. */
-    static String text() {
-        return TEXT.formatted(FIRST_VERSION + 1, "[" + Configs.ACCOUNT + "]");
+    /** Returns the version after the first one, in which a prefix of paths is replaced. */
+    static Catalog withPrefix(String prefix, String other) {
+        String text = TEXT.formatted(FIRST_VERSION + 1, "[" + Configs.ACCOUNT + "]");
+        return decode(text.replace(prefix, other));
     }
 
-    /** Decodes a configuration. */
-    static Catalog decode(String text) {
+    private static Catalog decode(String text) {
         return CatalogDecoder.decode(Bytes.utf8(text), Optional.empty()).catalog();
     }
 
--- a/src/test/java/hyssopturn/platform/RelayPathTest.java
+++ b/src/test/java/hyssopturn/platform/RelayPathTest.java
@@ -289,7 +289,7 @@
         void holdsRequestsUntilItsFirstConfiguration() {
             var answer = CompletableFuture.supplyAsync(() -> starting.call("/look/x", Map.of()));
             starting.service("s1", r -> RelayHarness.signed(r).end("found"));
-            starting.configure();
+            starting.configure(RelayHarnessConfig.catalog());
             assertThat(answer.join().body(), equalTo("found"));
         }
 
