A torn stream goes on at another engine

A stream that was reset amid its events was asked to go on at the engine that had reset it, and was broken off after the second reset, though another engine was free.

Cause: StreamCall avoided the first engine of a chain when its connection was lost before the answer, and not when it was lost amid it. Evidence: the events logged by TornAnswersTest.goOnAfterTheLastEventIfResumable, which fails without this change: attempts 1 and 2 at e, then "lost at several engines", with f free.

Both go through cutOff, which avoids the engine and does not exclude it.

--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -317,18 +317,6 @@
         avoidedFirst.add(first.id());
     }
 
-    /**
-     * Handles a lost connection. The engine may have lost only this answer, so it is avoided as the
-     * first engine but not excluded.
-     */
-    void connectionFailed(StreamAttempt attempt) {
-        if (stale(attempt)) {
-            return;
-        }
-        avoidFirst(attempt.first());
-        cutOff(attempt, "connection failed");
-    }
-
     /** Handles the refusal of an engine, which may be a later one of the chain. */
     void refused(StreamAttempt attempt, InstanceId refusing) {
         possibleRuns--;
@@ -458,11 +446,16 @@
         response.end();
     }
 
-    /** Handles an attempt whose connection ended before its answer. */
+    /**
+     * Handles an attempt whose connection ended before its answer. The engine may have lost only
+     * this answer, so it is avoided as the first engine but not excluded.
+     */
     void cutOff(StreamAttempt attempt, String cause) {
-        if (!stale(attempt)) {
-            recordLoss(attempt.first());
+        if (stale(attempt)) {
+            return;
         }
+        recordLoss(attempt.first());
+        avoidFirst(attempt.first());
         recover(attempt, cause);
     }
 
--- a/src/test/java/hyssopturn/platform/TornAnswersTest.java
+++ b/src/test/java/hyssopturn/platform/TornAnswersTest.java
@@ -260,6 +260,23 @@
             assertThat(plain.heads(), not(hasSize(0)));
         }
 
+        @Test
+        void goOnAfterTheLastEventIfResumable() throws IOException {
+            harness.engine(
+                    "f",
+                    r -> {
+                        boolean resumed = "0".equals(r.getHeader("Last-Event-Id"));
+                        RelayHarness.signed(r).end(resumed ? SECOND : FIRST + SECOND);
+                    });
+            engine.answer(
+                    Framing.UNTIL_CLOSE.upTo(Point.BETWEEN_PARTS), BreakingEndpoint.End.RESET);
+            for (int i = 0; i < REPEATS; i++) {
+                sendLong("POST", "/write/x");
+                assertThat(successBytes(), equalTo(FIRST.length() + SECOND.length()));
+            }
+            assertThat(engine.heads(), not(hasSize(0)));
+        }
+
         @Test
         void endInNoSuccessIfTheyMayRunOnce() throws IOException {
             plain.answer(Framing.UNTIL_CLOSE.upTo(Point.BETWEEN_PARTS), BreakingEndpoint.End.RESET);
