--- a/src/main/java/hyssopturn/node/HttpClients.java
+++ b/src/main/java/hyssopturn/node/HttpClients.java
@@ -51,8 +51,9 @@
      * @return the client
      */
     HttpClient forStore(int connections, Duration connectTimeout) {
+        Counter failures = meters.counter(WRITE_FAILURES, "callee", "store");
         return builder(connections, connectTimeout)
-                .withConnectHandler(connection -> watch(connection, "store"))
+                .withConnectHandler(connection -> watch(connection, failures))
                 .build();
     }
 
@@ -66,17 +67,17 @@
      * @return the client
      */
     HttpClient forEndpoints(int connections, Duration connectTimeout, WriteMemory memory) {
+        Counter failures = meters.counter(WRITE_FAILURES, "callee", "endpoint");
         return builder(connections, connectTimeout)
                 .withConnectHandler(
                         connection -> {
-                            watch(connection, "endpoint");
+                            watch(connection, failures);
                             keepUnsent(connection, memory);
                         })
                 .build();
     }
 
-    private void watch(HttpConnection connection, String callee) {
-        Counter failures = meters.counter(WRITE_FAILURES, "callee", callee);
+    private static void watch(HttpConnection connection, Counter failures) {
         WriteFailureHandler.watch(connection, failures::increment);
     }
 
