--- a/src/test/java/hyssopturn/platform/TornAnswersTest.java
+++ b/src/test/java/hyssopturn/platform/TornAnswersTest.java
@@ -199,6 +199,9 @@
 
         private static final int ALL_EVENTS = MANY + 10;
 
+        /** Makes the pause longer than the endpoint takes to go on, also beside load. */
+        private static final int CLOCK_DIVISOR = 5;
+
         private static String event(int id) {
             return "id: " + id + "\ndata: a\n\n";
         }
@@ -218,6 +221,7 @@
 
         /** Sends a request of which the last part and the reset come while nothing is read. */
         private int successBytesOf(String path, List<String> parts) throws IOException {
+            harness.slowClock(CLOCK_DIVISOR);
             plain.answer(parts, BreakingEndpoint.End.RESET);
             engine.answer(parts, BreakingEndpoint.End.RESET);
             sendLong("POST", path);
