--- a/src/test/java/hyssopturn/platform/BreakingEndpoint.java
+++ b/src/test/java/hyssopturn/platform/BreakingEndpoint.java
@@ -28,10 +28,16 @@
     enum End {
         /** With a reset, while the body of the request is unread. */
         RESET,
+        /** With a reset that follows the last byte at once. */
+        RESET_AT_ONCE,
         /** In order, after the whole request was read. */
         CLOSED_AFTER_READING,
         /** In order, before the body of the request is read, which is done afterwards. */
-        CLOSED_BEFORE_READING
+        CLOSED_BEFORE_READING;
+
+        boolean reset() {
+            return this == RESET || this == RESET_AT_ONCE;
+        }
     }
 
     BreakingEndpoint() throws IOException {}
@@ -61,7 +67,9 @@
             heads.add(head);
             for (String part : parts) {
                 socket.getOutputStream().write(part.getBytes(StandardCharsets.ISO_8859_1));
-                LockSupport.parkNanos(ARRIVAL_NANOS);
+                if (end != End.RESET_AT_ONCE) {
+                    LockSupport.parkNanos(ARRIVAL_NANOS);
+                }
             }
             end(socket, in, SocketServer.bodyBytes(head));
         }
@@ -69,7 +77,7 @@
 
     private void end(Socket socket, InputStream in, int bodyBytes) throws IOException {
         switch (end) {
-            case RESET -> socket.setSoLinger(true, 0);
+            case RESET, RESET_AT_ONCE -> socket.setSoLinger(true, 0);
             case CLOSED_AFTER_READING -> in.skipNBytes(bodyBytes);
             case CLOSED_BEFORE_READING -> {
                 socket.shutdownOutput();
--- a/src/test/java/hyssopturn/platform/TornAnswersTest.java
+++ b/src/test/java/hyssopturn/platform/TornAnswersTest.java
@@ -100,12 +100,12 @@
             String path, Framing framing, Point point, BreakingEndpoint.End end, int bodyBytes) {
         boolean whole() {
             boolean all = framing.upTo(point).equals(framing.upTo(Point.AFTER_END));
-            return all && (framing.proved() || end != BreakingEndpoint.End.RESET);
+            return all && (framing.proved() || !end.reset());
         }
 
         /** Returns whether an end in order cannot be told from the end of the answer. */
         boolean undecided() {
-            return !framing.proved() && end != BreakingEndpoint.End.RESET && !whole();
+            return !framing.proved() && !end.reset() && !whole();
         }
     }
 
