Errors of the node itself do not show that an endpoint refuses

While a node had no connection or descriptor free, each endpoint that a request was tried at counted as refusing connections, so that other callers got none of them until a check had cleared it.

Cause: Call.openFailed took all errors but timeouts for a refused connection.

Only errors of the socket count; after others the endpoint is checked, as after a timeout. Requests for unreadable services are counted as those for unreadable routes and accounts are.

--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -17,11 +17,11 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeoutException;
 
 /**
  * One request of a caller, from its admission to its single answer.
@@ -231,8 +231,9 @@
 
     /**
      * Records that no request to an endpoint could be opened, so nothing was sent. A refused
-     * connection shows that the endpoint has failed, a timeout is only a reason to check it, and a
-     * limit that is reached shows nothing.
+     * connection shows that the endpoint has failed; a timeout, or an error of this node itself,
+     * such as a lack of descriptors, is only a reason to check it; a limit that is reached shows
+     * nothing.
      */
     final void openFailed(Endpoint endpoint, Throwable error) {
         withdraw(endpoint);
@@ -241,7 +242,7 @@
             return;
         }
         excluded.add(endpoint.id());
-        if (!timedOut(error)) {
+        if (refused(error)) {
             attemptedEndpoints.markEnded(endpoint);
             context.routingState()
                     .roster()
@@ -267,8 +268,8 @@
         attemptedEndpoints.withdraw(endpoint);
     }
 
-    private static boolean timedOut(Throwable error) {
-        return error instanceof TimeoutException || error instanceof ConnectTimeoutException;
+    private static boolean refused(Throwable error) {
+        return error instanceof IOException && !(error instanceof ConnectTimeoutException);
     }
 
     /** Records that the request is being sent, so that it may have run from now on. */
--- a/src/main/java/hyssopturn/relay/Relay.java
+++ b/src/main/java/hyssopturn/relay/Relay.java
@@ -276,9 +276,14 @@
      */
     private int statusIfMissing(int status, boolean unread, long now) {
         if (unread) {
-            context.meters().counter("hyssopturn.config.unreadable.refusals").increment();
+            countUnreadable();
+            return Call.UNAVAILABLE;
         }
-        return !unread && context.routingState().fresh(now) ? status : Call.UNAVAILABLE;
+        return context.routingState().fresh(now) ? status : Call.UNAVAILABLE;
+    }
+
+    private void countUnreadable() {
+        context.meters().counter("hyssopturn.config.unreadable.refusals").increment();
     }
 
     private void start(
@@ -292,6 +297,7 @@
             long arrivedNanos) {
         String service = route.pickService(context.random().nextDouble());
         if (catalog.lacksService(service)) {
+            countUnreadable();
             refuse(request, Call.UNAVAILABLE, "service unreadable", arrivedNanos);
             return;
         }
--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -82,9 +82,6 @@
     /** Connections to each server, of callers and of the relay. */
     private static final int MAX_CONNECTIONS = 200;
 
-    /** Size of small send buffers. */
-    private static final int SEND_BUFFER_BYTES = 16_384;
-
     private static final String HOST = "127.0.0.1";
 
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
@@ -118,21 +115,20 @@
         this(true);
     }
 
-    /** Starts a relay whose long requests do not fit into the kernel's buffers. */
-    static RelayHarness withSmallSendBuffers() {
-        return new RelayHarness(true, new HttpClientOptions().setSendBufferSize(SEND_BUFFER_BYTES));
-    }
-
     /** Starts a relay with or without a configuration. */
     RelayHarness(boolean configured) {
-        this(configured, new HttpClientOptions());
+        this(
+                configured,
+                new HttpClientOptions(),
+                new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS));
     }
 
-    private RelayHarness(boolean configured, HttpClientOptions options) {
+    /** Starts a relay whose connections have options of their own, as those of its callers. */
+    RelayHarness(boolean configured, HttpClientOptions options, PoolOptions pool) {
         client =
                 vertx.httpClientBuilder()
                         .with(options.setKeepAlive(false))
-                        .with(new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS))
+                        .with(pool)
                         .withConnectHandler(
                                 c -> WriteFailureHandler.watch(c, writeFailures::incrementAndGet))
                         .build();
--- a/src/test/java/hyssopturn/platform/TornAnswersTest.java
+++ b/src/test/java/hyssopturn/platform/TornAnswersTest.java
@@ -7,6 +7,9 @@
 
 import hyssopturn.model.LayerRange;
 
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.PoolOptions;
+
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -40,7 +43,14 @@
     /** Size of a body that an endpoint has not read when it answers, in bytes. */
     private static final int LONG_BODY_BYTES = 2_000_000;
 
-    private final RelayHarness harness = RelayHarness.withSmallSendBuffers();
+    /** Size of the relay's send buffers, so that most of a long body waits in the relay. */
+    private static final int SEND_BUFFER_BYTES = 16_384;
+
+    private final RelayHarness harness =
+            new RelayHarness(
+                    true,
+                    new HttpClientOptions().setSendBufferSize(SEND_BUFFER_BYTES),
+                    new PoolOptions());
     private BreakingEndpoint plain;
     private BreakingEndpoint engine;
     private KeptConnection caller;
