A stream that has not begun may be sent to the same engine again

Since a stream that was cut off before its first event waited at a silent engine until its deadline, where MaxAttempts allows no third engine.

Cause: the engine that had cut it off was avoided for all streams; only those that have begun may fall back to avoided engines.

--- a/src/main/java/hyssopturn/relay/StreamAttempt.java
+++ b/src/main/java/hyssopturn/relay/StreamAttempt.java
@@ -141,7 +141,7 @@
         call.admitted
                 .body()
                 .send(opened)
-                .onComplete(this::handleHead, e -> call.cutOff(this, "connection failed"));
+                .onComplete(this::handleHead, e -> call.connectionFailed(this));
     }
 
     private void handleHead(HttpClientResponse answer) {
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -447,15 +447,29 @@
     }
 
     /**
-     * Handles an attempt whose connection ended before its answer. The engine may have lost only
-     * this answer, so it is avoided as the first engine but not excluded.
+     * Handles a lost connection. The engine may have lost only this answer, so it is avoided as the
+     * first engine but not excluded.
+     */
+    void connectionFailed(StreamAttempt attempt) {
+        if (stale(attempt)) {
+            return;
+        }
+        avoidFirst(attempt.first());
+        cutOff(attempt, "connection failed");
+    }
+
+    /**
+     * Handles an attempt whose connection ended before its answer. A stream that has begun prefers
+     * other engines then; it may still go on at the same one if the route allows no other.
      */
     void cutOff(StreamAttempt attempt, String cause) {
         if (stale(attempt)) {
             return;
         }
         recordLoss(attempt.first());
-        avoidFirst(attempt.first());
+        if (response.headWritten()) {
+            avoidFirst(attempt.first());
+        }
         recover(attempt, cause);
     }
 
