Log lines and counters tell broken zones, zones without room and full links apart

A refusal 'no chain within a zone' hid whether zones lacked layers, whether the engines that had them were full, or whether link time was used up in fact or only in its division among nodes. ZoneCovered tells the first two at the node that places layers; hyssopturn.zone.link.millis counts link time by link, granted and refused. The refusal now says what is lacking: 'no link time between zones'.

--- a/src/main/java/hyssopturn/catalog/EngineSpec.java
+++ b/src/main/java/hyssopturn/catalog/EngineSpec.java
@@ -64,6 +64,15 @@
         return range.to() <= layers;
     }
 
+    /**
+     * Returns the mean number of tokens that a request holds when its answer ends.
+     *
+     * @return number of tokens, at least 1
+     */
+    public double meanRequestTokens() {
+        return Math.max(1, meanPromptTokens + meanAnswerTokens);
+    }
+
     /**
      * Counts the tokens that fit into an accelerator's memory beside layers.
      *
--- a/src/main/java/hyssopturn/chain/InterZoneBudget.java
+++ b/src/main/java/hyssopturn/chain/InterZoneBudget.java
@@ -151,7 +151,7 @@
      * @param spec sizes and speeds
      * @return the time, in milliseconds
      */
-    static double transferMillis(long promptTokens, EngineSpec spec) {
+    public static double transferMillis(long promptTokens, EngineSpec spec) {
         return linkMillis(promptTokens * spec.activationBytes(), spec);
     }
 
--- a/src/main/java/hyssopturn/chain/LayerController.java
+++ b/src/main/java/hyssopturn/chain/LayerController.java
@@ -57,6 +57,7 @@
     private final TraceLog trace;
     private final ObjLongConsumer<Duties.Assignment> listener;
     private final Map<InstanceId, PendingOrder> pendingOrders = new HashMap<>();
+    private final Map<String, List<ZoneCoverage>> coverage = new HashMap<>();
     private final Set<String> settledServices = new HashSet<>();
     private final Duration settleTime;
     private OptionalLong fence = OptionalLong.empty();
@@ -141,6 +142,7 @@
         OptionalLong held = granted.placementToken();
         if (held.isEmpty()) {
             settledServices.clear();
+            coverage.clear();
         }
         if (!held.equals(fence)) {
             trace.record(new TraceEvent.Duty(held.isPresent(), held.orElse(-1)));
@@ -168,10 +170,24 @@
         }
         long now = clock.nanos();
         if (settled(service.name(), now)) {
-            sendOrders(service.engine().get(), roster.stable(service.name(), now), now);
+            List<Endpoint> live = roster.stable(service.name(), now);
+            recordCoverage(service.name(), ZoneCoverage.of(service.engine().get(), live));
+            sendOrders(service.engine().get(), live, now);
         }
     }
 
+    private void recordCoverage(String service, List<ZoneCoverage> now) {
+        List<ZoneCoverage> before =
+                Optional.ofNullable(coverage.put(service, now)).orElse(List.of());
+        now.stream()
+                .filter(c -> !before.contains(c))
+                .map(
+                        c ->
+                                new TraceEvent.ZoneCovered(
+                                        service, c.zone(), c.missingLayers(), c.room()))
+                .forEach(trace::record);
+    }
+
     /**
      * Returns whether the first plan can be made. A new holder waits until one more read of the
      * list brought no new engine: orders for a part of the engines take long to undo.
--- a/src/main/java/hyssopturn/chain/LayerPlanner.java
+++ b/src/main/java/hyssopturn/chain/LayerPlanner.java
@@ -107,7 +107,7 @@
     }
 
     private int capacity(Endpoint engine, double requests) {
-        double tokens = requests * (spec.meanPromptTokens() + spec.meanAnswerTokens());
+        double tokens = requests * spec.meanRequestTokens();
         return spec.layersThatFit(kind(engine), tokens);
     }
 
--- a/src/main/java/hyssopturn/chain/ZoneStates.java
+++ b/src/main/java/hyssopturn/chain/ZoneStates.java
@@ -127,16 +127,12 @@
             step += stepMillis[layer] / tokens[layer];
         }
         return new Supply(
-                fitting / meanTokens(),
+                fitting / spec.meanRequestTokens(),
                 Arrays.stream(prompts).min().orElse(0) / Math.max(1, spec.meanPromptTokens()),
                 first + step,
                 first + step * spec.meanAnswerTokens());
     }
 
-    private double meanTokens() {
-        return Math.max(1, spec.meanPromptTokens() + spec.meanAnswerTokens());
-    }
-
     private double readMillisPerLayer() {
         return spec.meanPromptTokens() * MILLIS / spec.prefillTokensPerSecond() / spec.layers();
     }
@@ -144,7 +140,7 @@
     /** Returns the time of a step of the reference engine with full memory. */
     private double fullStepMillis(double tokens) {
         return spec.stepMillis()
-                + spec.perRequestMillis() * tokens / meanTokens()
+                + spec.perRequestMillis() * tokens / spec.meanRequestTokens()
                 + spec.contextMillis() * tokens / CONTEXT_TOKENS;
     }
 
@@ -180,7 +176,7 @@
                             .sum();
             expected += started * supplies.get(demand.getKey()).stayMillis / MILLIS;
         }
-        expected *= meanTokens() * spec.layers();
+        expected *= spec.meanRequestTokens() * spec.layers();
         return used < BUSY_PART * capacity || expected <= 0
                 ? 1
                 : Math.clamp(used / expected, MIN_CORRECTION, MAX_CORRECTION);
--- a/src/main/java/hyssopturn/relay/ChainFinder.java
+++ b/src/main/java/hyssopturn/relay/ChainFinder.java
@@ -29,6 +29,9 @@
 
 /** Finds chains for one request among the engines that are currently known. */
 final class ChainFinder {
+    /** Obstacle of a request whose only chain passes links between zones that are used up. */
+    static final String NO_LINK_TIME = "no link time between zones";
+
     private static final String OWN_ZONE = "own zone";
     private static final String PART = "hyssopturn.zone.part";
 
@@ -223,7 +226,21 @@
 
     /** Reserves transfer time of the prompt on links between zones, from this node's share. */
     boolean reserveZoneLinks(List<ZoneLink> links, InterZoneBudget.Use use) {
-        return context.zoneLinks().tryAcquire(links, size.promptTokens(), spec, use, now());
+        boolean granted =
+                context.zoneLinks().tryAcquire(links, size.promptTokens(), spec, use, now());
+        countLinkTime(links, granted);
+        return granted;
+    }
+
+    private void countLinkTime(List<ZoneLink> links, boolean granted) {
+        double millis = InterZoneBudget.transferMillis(size.promptTokens(), spec);
+        for (ZoneLink link : links) {
+            String name = link.first() + "-" + link.second();
+            String outcome = granted ? "granted" : "refused";
+            context.meters()
+                    .counter("hyssopturn.zone.link.millis", "link", name, "outcome", outcome)
+                    .increment(millis);
+        }
     }
 
     /** Converts a chain to the form that is sent to engines. */
--- a/src/main/java/hyssopturn/relay/ChainMoves.java
+++ b/src/main/java/hyssopturn/relay/ChainMoves.java
@@ -86,7 +86,7 @@
             return;
         }
         if (!reserve(other.get().links())) {
-            keepWaiting(cause, suspect, "no other chain within a zone");
+            keepWaiting(cause, suspect, ChainFinder.NO_LINK_TIME);
             return;
         }
         if (call.twoOpen()) {
--- a/src/main/java/hyssopturn/relay/RouteExplainer.java
+++ b/src/main/java/hyssopturn/relay/RouteExplainer.java
@@ -123,7 +123,7 @@
 
     private Outcome chosen(ChainFinder finder, EngineChain chain) {
         if (!finder.reserveZoneLinks(chain.links(), InterZoneBudget.Use.NEW)) {
-            return Outcome.none(REFUSE, "no chain within a zone");
+            return Outcome.none(REFUSE, ChainFinder.NO_LINK_TIME);
         }
         Set<String> used = new HashSet<>();
         chain.hops().forEach(hop -> used.add(hop.engine().id().value()));
--- a/src/main/java/hyssopturn/relay/StreamCall.java
+++ b/src/main/java/hyssopturn/relay/StreamCall.java
@@ -151,7 +151,7 @@
         InterZoneBudget.Use use =
                 response.headWritten() ? InterZoneBudget.Use.BEGUN : InterZoneBudget.Use.NEW;
         if (!chainFinder.reserveZoneLinks(found.get().links(), use)) {
-            return Optional.of("no chain within a zone");
+            return Optional.of(ChainFinder.NO_LINK_TIME);
         }
         startOn(found.get());
         return Optional.empty();
--- a/src/main/java/hyssopturn/trace/EventCounters.java
+++ b/src/main/java/hyssopturn/trace/EventCounters.java
@@ -45,6 +45,7 @@
             case TraceEvent.Ordered e ->
                     labels("", e.result().startsWith("no answer") ? "no answer" : e.result());
             case TraceEvent.Duty e -> labels("", e.held() ? "held" : "lost");
+            case TraceEvent.ZoneCovered e -> labels("", e.missing() > 0 ? "broken" : "whole");
             case TraceEvent.ZoneFlowChanged e -> labels("", e.part() > 0 ? "sent" : "none");
             case TraceEvent.ShareDealt e -> labels("", "");
             case TraceEvent.Stopping e -> labels("", e.phase());
--- a/src/main/java/hyssopturn/trace/TraceEvent.java
+++ b/src/main/java/hyssopturn/trace/TraceEvent.java
@@ -104,6 +104,16 @@
     record Ordered(String endpoint, String layers, long fence, String result)
             implements TraceEvent {}
 
+    /**
+     * The layers that a zone's engines hold changed, as the node that places them knows them.
+     *
+     * @param service name of the service
+     * @param zone the zone
+     * @param missing number of layers without an engine there
+     * @param room requests of mean size that fit at the layer with the least memory
+     */
+    record ZoneCovered(String service, String zone, int missing, int room) implements TraceEvent {}
+
     /**
      * A request was offered to an endpoint.
      *
