An engine that changes its layers is not taken for failed, and one that no order reaches is

Cause: a first engine names the one that its streams wait for. One that was told to give up layers lets them wait, so it was suspected, told to all nodes, and left out of the next plan. On the other hand an order that reached nobody counted as under way for 13 s, as if its layers were coming. Change: a stall does not speak against an engine that does not hold what the stream uses; an engine with an order under way counts as live while it may only be silent; an order that could not be delivered is given up at once and its engine suspected. Tests: layersOfAnEngineThatNoOrderReachesAreOrderedElsewhere and anEngineThatIsSilentDuringItsOrderIsNotReplaced.

--- a/src/main/java/hyssopturn/chain/LayerController.java
+++ b/src/main/java/hyssopturn/chain/LayerController.java
@@ -6,16 +6,19 @@
 import hyssopturn.catalog.EngineSpec;
 import hyssopturn.catalog.ServiceSpec;
 import hyssopturn.fleet.Endpoint;
+import hyssopturn.fleet.Evidence;
 import hyssopturn.fleet.Roster;
 import hyssopturn.model.InstanceId;
 import hyssopturn.model.LayerRange;
 import hyssopturn.port.Clock;
 import hyssopturn.port.Duties;
 import hyssopturn.port.EngineControl;
+import hyssopturn.port.RefusedException;
 import hyssopturn.trace.TraceEvent;
 import hyssopturn.trace.TraceLog;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -23,6 +26,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.ObjLongConsumer;
 import java.util.function.Supplier;
@@ -174,12 +178,24 @@
         }
         long now = clock.nanos();
         if (settled(service.name(), now)) {
-            List<Endpoint> live = roster.stable(service.name(), now);
+            List<Endpoint> live = live(service.name(), now);
             recordCoverage(service.name(), ZoneCoverage.of(service.engine().get(), live));
             sendOrders(service.engine().get(), live, now);
         }
     }
 
+    /**
+     * Returns the engines that are expected to continue. One that was ordered to change its layers
+     * does not answer some requests meanwhile, which is no sign of a failure.
+     */
+    private List<Endpoint> live(String service, long now) {
+        List<Endpoint> live = new ArrayList<>(roster.stable(service, now));
+        roster.usableOrSilent(service, now).stream()
+                .filter(e -> pendingOrders.containsKey(e.id()) && !live.contains(e))
+                .forEach(live::add);
+        return live;
+    }
+
     private void recordCoverage(String service, List<ZoneCoverage> now) {
         List<ZoneCoverage> before =
                 Optional.ofNullable(coverage.put(service, now)).orElse(List.of());
@@ -276,6 +292,10 @@
             rejectedFence = Math.max(rejectedFence, token);
             pendingOrders.remove(engine.id());
         }
+        if (unreachable(error)) {
+            pendingOrders.remove(engine.id());
+            roster.suspect(engine.id(), engine.incarnation(), Evidence.UNREACHABLE, clock.nanos());
+        }
         if (result == EngineControl.OrderResult.CONFLICT) {
             long now = clock.nanos();
             long retryNanos = now + CONFLICT_PAUSE.toNanos();
@@ -283,4 +303,10 @@
                     engine.id(), new PendingOrder(range, engine.incarnation(), now, retryNanos));
         }
     }
+
+    private static boolean unreachable(Throwable error) {
+        Throwable cause = error instanceof CompletionException ? error.getCause() : error;
+        return cause instanceof RefusedException refused
+                && refused.reason() == RefusedException.Reason.UNREACHABLE;
+    }
 }
--- a/src/main/java/hyssopturn/relay/StallDetector.java
+++ b/src/main/java/hyssopturn/relay/StallDetector.java
@@ -250,23 +250,28 @@
 
     private void handleStallReport(
             Endpoint first, List<StreamCall> waiting, Map<String, Address> waitsFor) {
-        Set<Address> failedEngines = new LinkedHashSet<>();
+        Set<Endpoint> failedEngines = new LinkedHashSet<>();
         for (StreamCall stream : waiting) {
-            Optional.ofNullable(waitsFor.get(stream.id())).ifPresent(failedEngines::add);
+            Optional.ofNullable(waitsFor.get(stream.id()))
+                    .flatMap(context.routingState().roster()::findByAddress)
+                    .filter(e -> !gaveUpLayers(e, stream))
+                    .ifPresent(failedEngines::add);
         }
-        for (Address failedEngine : failedEngines) {
-            context.routingState()
-                    .roster()
-                    .findByAddress(failedEngine)
-                    .ifPresent(
-                            e -> {
-                                if (markUnresponsive(e, waiting, "named by " + first.id())) {
-                                    context.faultReports().accept(e);
-                                }
-                            });
+        for (Endpoint failedEngine : failedEngines) {
+            if (markUnresponsive(failedEngine, waiting, "named by " + first.id())) {
+                context.faultReports().accept(failedEngine);
+            }
         }
     }
 
+    /** Returns whether an engine does not hold any more what a stream uses there; it is sound. */
+    private static boolean gaveUpLayers(Endpoint engine, StreamCall stream) {
+        return stream.newest().stream()
+                .flatMap(attempt -> attempt.chain().hops().stream())
+                .filter(hop -> hop.engine().id().equals(engine.id()))
+                .anyMatch(hop -> engine.layers().filter(l -> l.contains(hop.range())).isEmpty());
+    }
+
     /**
      * Marks an engine as suspected and tries other chains for streams that use it; returns true if
      * it was not suspected before.
--- a/src/test/java/hyssopturn/chain/LayerControllerTest.java
+++ b/src/test/java/hyssopturn/chain/LayerControllerTest.java
@@ -10,11 +10,13 @@
 import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
 
 import hyssopturn.catalog.CallerLimits;
 import hyssopturn.catalog.Catalog;
 import hyssopturn.catalog.ServiceSpec;
 import hyssopturn.fleet.Endpoint;
+import hyssopturn.fleet.Evidence;
 import hyssopturn.fleet.Roster;
 import hyssopturn.model.Address;
 import hyssopturn.model.InstanceId;
@@ -22,6 +24,7 @@
 import hyssopturn.port.Duties;
 import hyssopturn.port.EngineControl;
 import hyssopturn.port.InDoubtException;
+import hyssopturn.port.RefusedException;
 import hyssopturn.standin.VirtualClock;
 import hyssopturn.trace.TraceLog;
 
@@ -38,6 +41,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
 
 class LayerControllerTest {
     private static final Duration WAIT = Duration.ofSeconds(4);
@@ -98,6 +102,7 @@
     private static final class FakeEngines implements EngineControl {
         private final List<Order> orders = new ArrayList<>();
         private Optional<InstanceId> failing = Optional.empty();
+        private Optional<InstanceId> unreachable = Optional.empty();
         private CompletableFuture<OrderResult> answer =
                 CompletableFuture.completedFuture(OrderResult.ACCEPTED);
 
@@ -115,6 +120,10 @@
         @Override
         public CompletableFuture<OrderResult> place(
                 Address engine, InstanceId id, LayerRange range, Passing passing, long fence) {
+            if (unreachable.equals(Optional.of(id))) {
+                RefusedException.Reason reason = RefusedException.Reason.UNREACHABLE;
+                return CompletableFuture.failedFuture(new RefusedException(reason, "timed out"));
+            }
             if (failing.equals(Optional.of(id))) {
                 throw new IllegalStateException("order failed at once");
             }
@@ -189,6 +198,35 @@
             assertThat(engines.orders, hasSize(4));
         }
 
+        /**
+         * Guards against layers that are missing for as long as an order to a dead engine is open.
+         */
+        @Test
+        void layersOfAnEngineThatNoOrderReachesAreOrderedElsewhere() {
+            duties.fence = OptionalLong.of(3);
+            announceFive();
+            engines.unreachable = Optional.of(new InstanceId("e0"));
+            controller.start();
+            clock.advance(WAIT);
+            Set<InstanceId> ordered =
+                    engines.orders.stream().map(Order::engine).collect(Collectors.toSet());
+            assertThat(ordered, hasSize(4));
+            assertThat(roster.suspected(Engines.empty("e0", "a", LARGE), clock.nanos()), is(true));
+        }
+
+        /** Guards against plans without an engine that answers late since it was given an order. */
+        @Test
+        void anEngineThatIsSilentDuringItsOrderIsNotReplaced() {
+            duties.fence = OptionalLong.of(3);
+            announceFive();
+            controller.start();
+            clock.advance(WAIT);
+            InstanceId silent = new InstanceId("e1");
+            roster.suspect(silent, 1, Evidence.UNRESPONSIVE, clock.nanos());
+            clock.advance(Duration.ofSeconds(1));
+            assertThat(engines.orders, hasSize(5));
+        }
+
         @Test
         void waitsForNewEnginesToSettle() {
             duties.fence = OptionalLong.of(3);
