--- a/src/main/java/hyssopturn/chain/LayerController.java
+++ b/src/main/java/hyssopturn/chain/LayerController.java
@@ -41,8 +41,8 @@
 public final class LayerController {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration TICK = Duration.ofMillis(250);
-    private static final Duration JOIN_INTERVAL = Duration.ofSeconds(1);
-    private static final Duration DUTY_LEASE = Duration.ofSeconds(3);
+    private static final Duration JOIN_INTERVAL = Duration.ofMillis(700);
+    private static final Duration DUTY_LEASE = Duration.ofSeconds(2);
 
     /** Time that a read of the list may be late, and an announcement on its way. */
     private static final Duration READ_DELAY = Duration.ofMillis(500);
