A node that loses its links to endpoints reaches them through other nodes

Cause: a node took every lost connection for a fault of the endpoint. It suspected all of them one by one, refused what was asked of it, and told the others that they had failed. Nothing compared what other nodes reach. Change: connections to endpoints are opened through another node if this one gets none, or none within 60 ms, and others do (SOCKS 5 on the fifth of the reserved ports, TunnelServer). Only the connection goes another way: the first node keeps the request with its attempts, deadline, budget, account and priority; nothing is sent before a connection is open, so nothing runs twice; the other node connects directly, so there is no second hop; the end, a reset and the caller's leaving are passed on. From two endpoints on that only others reach, all links count as lost, and a trial connection each 300 ms shows when they are back. A check for life asks other nodes before an endpoint is suspected. An answer without a length that ends with such a connection is not taken for complete. Tunnels are at most a twentieth of the sockets; a stopping node opens none and waits for those that are open.

--- a/src/main/java/hyssopturn/node/DescriptorRoom.java
+++ b/src/main/java/hyssopturn/node/DescriptorRoom.java
@@ -21,6 +21,11 @@
     private static final Path LIMITS = Path.of("/proc/self/limits");
     private static final Pattern OPEN_FILES = Pattern.compile("Max open files\\s+(\\d+)\\s.*");
 
+    /** Sockets for each tunnel: tunnels take two, of the tenth that callers leave free. */
+    private static final int SOCKETS_PER_TUNNEL = 20;
+
+    private static final int MAX_TUNNELS = 1_000;
+
     /** Limit that is assumed where the system does not tell it. */
     private static final long UNKNOWN = 1_024;
 
@@ -37,6 +42,16 @@
         }
     }
 
+    /**
+     * Returns the most tunnels for other nodes. A platform that counts sockets apart from files
+     * limits them itself, whatever the system says of descriptors.
+     */
+    static int tunnels(MachineLimits machine) {
+        long sockets =
+                machine.sockets().isPresent() ? machine.sockets().getAsInt() : of(machine).all;
+        return (int) Math.min(MAX_TUNNELS, sockets / SOCKETS_PER_TUNNEL);
+    }
+
     private static boolean isSocketOrPipe(Path descriptor) {
         try {
             String target = Files.readSymbolicLink(descriptor).toString();
--- a/src/main/java/hyssopturn/node/IssuerReader.java
+++ b/src/main/java/hyssopturn/node/IssuerReader.java
@@ -9,8 +9,10 @@
 import hyssopturn.share.HolderReads;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Reads which node holds each partition, and so issues the grants of its endpoints and adds up
@@ -36,6 +38,7 @@
     private final Duties duties;
     private final EndpointLimits limits;
     private final LoadSharing loads;
+    private final Consumer<Collection<Address>> listener;
     private final Clock clock;
     private Map<Integer, Address> holders = Map.of();
     private boolean reading;
@@ -46,10 +49,16 @@
     private long reads;
     private double savedReads;
 
-    IssuerReader(Duties duties, EndpointLimits limits, LoadSharing loads, Clock clock) {
+    IssuerReader(
+            Duties duties,
+            EndpointLimits limits,
+            LoadSharing loads,
+            Consumer<Collection<Address>> listener,
+            Clock clock) {
         this.duties = duties;
         this.limits = limits;
         this.loads = loads;
+        this.listener = listener;
         this.clock = clock;
     }
 
@@ -108,6 +117,7 @@
         readNanos = asOfNanos;
         limits.owners(owners);
         loads.owners(owners);
+        listener.accept(owners.values());
     }
 
     @Override
--- a/src/main/java/hyssopturn/node/NodeDrain.java
+++ b/src/main/java/hyssopturn/node/NodeDrain.java
@@ -4,6 +4,7 @@
 import hyssopturn.relay.Relay;
 import hyssopturn.trace.TraceEvent;
 import hyssopturn.trace.TraceLog;
+import hyssopturn.tunnel.TunnelServer;
 
 import io.vertx.core.http.HttpServer;
 
@@ -25,15 +26,19 @@
     /** Part of the drain's maximum time that is left for closing connections and logging. */
     private static final Duration CLOSE_TIME = Duration.ofMillis(100);
 
+    private static final Duration TUNNEL_CHECK_INTERVAL = Duration.ofMillis(50);
+
     private final Relay relay;
     private final HttpServer callers;
+    private final TunnelServer tunnels;
     private final Clock clock;
     private final TraceLog trace;
     private final CompletableFuture<Void> done = new CompletableFuture<>();
 
-    NodeDrain(Relay relay, HttpServer callers, Clock clock, TraceLog trace) {
+    NodeDrain(Relay relay, HttpServer callers, TunnelServer tunnels, Clock clock, TraceLog trace) {
         this.relay = relay;
         this.callers = callers;
+        this.tunnels = tunnels;
         this.clock = clock;
         this.trace = trace;
     }
@@ -50,6 +55,7 @@
         Duration serving = minimum.compareTo(half) < 0 ? minimum : half;
         Duration answering = maximum.minus(LAST_ANSWERS_TIME);
         trace.record(new TraceEvent.Stopping("draining", relay.running()));
+        tunnels.stopAccepting();
         relay.drain(serving.minus(ACCEPT_MARGIN), answering);
         clock.after(serving, () -> closeCallers(maximum.minus(serving)));
         clock.after(answering, relay::giveUpBeforeExit);
@@ -70,7 +76,17 @@
      * of its answer have left this process.
      */
     private void closeCallers(Duration limit) {
-        callers.shutdown(limit.toMillis(), TimeUnit.MILLISECONDS).onComplete(closed -> finish());
+        callers.shutdown(limit.toMillis(), TimeUnit.MILLISECONDS)
+                .onComplete(closed -> finishAfterTunnels());
+    }
+
+    /** Waits for the connections of other nodes' requests as well. */
+    private void finishAfterTunnels() {
+        if (tunnels.open() == 0) {
+            finish();
+        } else if (!done.isDone()) {
+            clock.after(TUNNEL_CHECK_INTERVAL, this::finishAfterTunnels);
+        }
     }
 
     private void finish() {
--- a/src/main/java/hyssopturn/node/RelayNode.java
+++ b/src/main/java/hyssopturn/node/RelayNode.java
@@ -14,6 +14,7 @@
 import hyssopturn.relay.AnswerMemory;
 import hyssopturn.relay.BodyMemory;
 import hyssopturn.relay.CallerMemory;
+import hyssopturn.relay.EndpointClient;
 import hyssopturn.relay.EndpointNotices;
 import hyssopturn.relay.LoopLag;
 import hyssopturn.relay.Relay;
@@ -25,6 +26,8 @@
 import hyssopturn.trace.LibraryLog;
 import hyssopturn.trace.TraceEvent;
 import hyssopturn.trace.TraceLog;
+import hyssopturn.tunnel.EndpointConnector;
+import hyssopturn.tunnel.TunnelServer;
 
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -37,6 +40,8 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.time.Duration;
+import java.util.Collection;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
@@ -74,6 +79,7 @@
     private final StoreReading reading;
     private final WhereHandler where;
     private final LayerController layers;
+    private final TunnelServer tunnels;
     private final LimitSocket limitSocket;
     private final EndpointLimits limits;
     private final RetryBudget retries;
@@ -114,8 +120,8 @@
         pipes = new InterZoneBudget(settings.nodes());
         WriteMemory writeMemory = writeMemory();
         HttpClients clients = new HttpClients(vertx, meters);
-        HttpClient endpointClient =
-                clients.forEndpoints(ENDPOINT_CONNECTIONS, settings.connectTimeout(), writeMemory);
+        EndpointConnector connector = connector(clients, settings, writeMemory, random);
+        tunnels = tunnels();
         AnswerMemory answerMemory = answerMemory();
         CallerMemory callerMemory =
                 new CallerMemory(settings.callers().memoryBytes(memory.heapBytes()));
@@ -123,7 +129,7 @@
         limits = limits(random);
         EndpointNotices notices =
                 new EndpointNotices(knowledge.roster(), limits, clock, trace, meters);
-        PlatformAdapter adapter = adapter(clients, endpointClient, answerMemory, notices);
+        PlatformAdapter adapter = adapter(clients, connector, answerMemory, notices);
         FaultReporter faultReporter =
                 new FaultReporter(
                         adapter.log(), knowledge.roster(), clock, trace, platform.node(), random);
@@ -135,14 +141,14 @@
                         new RelayContext(
                                 knowledge,
                                 adapter.headers(),
-                                endpointClient,
+                                connector,
                                 clock,
                                 random,
                                 retries,
                                 load,
                                 loads.view(),
                                 pipes,
-                                new ConnectProbe(vertx, PROBE_TIMEOUT),
+                                probe(connector),
                                 new LoopLag(),
                                 faultReporter,
                                 answerMemory,
@@ -166,6 +172,7 @@
                         new FaultStreamListener(faultReporter, quarantineReporter, prompts),
                         limits,
                         loads,
+                        owners -> connector.helpers(helpers(owners)),
                         clock,
                         trace,
                         meters);
@@ -175,7 +182,7 @@
 
     private PlatformAdapter adapter(
             HttpClients clients,
-            HttpClient endpointClient,
+            EndpointClient endpointClient,
             AnswerMemory answerMemory,
             EndpointNotices notices) {
         HttpClient storeClient = clients.forStore(STORE_CONNECTIONS, STORE_CONNECT_TIMEOUT);
@@ -187,6 +194,44 @@
         return servers.forCallers(relay::handle, knowledge::callerLimits, connections);
     }
 
+    private EndpointConnector connector(
+            HttpClients clients,
+            RelayNodeSettings settings,
+            WriteMemory writeMemory,
+            RandomGenerator random) {
+        HttpClient client =
+                clients.forEndpoints(ENDPOINT_CONNECTIONS, settings.connectTimeout(), writeMemory);
+        return new EndpointConnector(
+                client::request, client, clock, random, this::linksChanged, meters);
+    }
+
+    private void linksChanged(boolean lost) {
+        trace.record(
+                new TraceEvent.Dependency(
+                        "links to endpoints",
+                        lost ? "lost" : "regained",
+                        lost ? "other nodes reach endpoints, this one does not" : ""));
+    }
+
+    private HelpedProbe probe(EndpointConnector connector) {
+        return new HelpedProbe(new ConnectProbe(vertx, PROBE_TIMEOUT), connector);
+    }
+
+    /** Returns the addresses at which other nodes open connections. */
+    private List<Address> helpers(Collection<Address> peers) {
+        return peers.stream()
+                .distinct()
+                .filter(peer -> !peer.equals(platform.peers()))
+                .map(PlatformSettings::tunnels)
+                .toList();
+    }
+
+    private TunnelServer tunnels() {
+        int limit = DescriptorRoom.tunnels(platform.machine());
+        return new TunnelServer(
+                vertx, a -> knowledge.roster().findByAddress(a).isPresent(), limit, meters);
+    }
+
     private EndpointLimits limits(RandomGenerator random) {
         int partitions = PlatformAdapter.partitions(platform);
         EndpointLimits created =
@@ -308,6 +353,7 @@
                     layers.start();
                     limitSocket.listen(platform.peers(), limits::receive);
                     loads.start();
+                    tunnels.listen(platform.tunnels());
                     relay.start();
                 });
     }
@@ -356,7 +402,7 @@
      *     is closed, or the maximum time has passed
      */
     public CompletableFuture<Void> drain(Duration minimum, Duration maximum) {
-        NodeDrain drain = new NodeDrain(relay, callers, clock, trace);
+        NodeDrain drain = new NodeDrain(relay, callers, tunnels, clock, trace);
         vertx.runOnContext(
                 v -> {
                     layers.stop();
--- a/src/main/java/hyssopturn/node/StoreReading.java
+++ b/src/main/java/hyssopturn/node/StoreReading.java
@@ -4,6 +4,7 @@
 import hyssopturn.limit.EndpointLimits;
 import hyssopturn.log.Backoff;
 import hyssopturn.log.KeyedFollower;
+import hyssopturn.model.Address;
 import hyssopturn.model.Bytes;
 import hyssopturn.peer.ShareSocket;
 import hyssopturn.platform.PlatformAdapter;
@@ -29,6 +30,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.BiPredicate;
+import java.util.function.Consumer;
 import java.util.function.ToDoubleFunction;
 
 /** Reads what a node needs from the platform's store, or lets other nodes read it. */
@@ -61,6 +63,7 @@
             FaultStreamListener faults,
             EndpointLimits limits,
             LoadSharing loads,
+            Consumer<Collection<Address>> holders,
             Clock clock,
             TraceLog trace,
             MeterRegistry meters) {
@@ -78,7 +81,7 @@
                         endpoints(),
                         follower(
                                 SharedStream.FAULTS, FaultReport.STREAM, Optional.empty(), faults));
-        issuers = new IssuerReader(adapter.duties(), limits, loads, clock);
+        issuers = new IssuerReader(adapter.duties(), limits, loads, holders, clock);
         ShareSocket socket = new ShareSocket(vertx, platform.peers());
         sharing =
                 new StoreSharing(
--- a/src/main/java/hyssopturn/platform/HttpCalls.java
+++ b/src/main/java/hyssopturn/platform/HttpCalls.java
@@ -6,11 +6,11 @@
 import hyssopturn.port.RefusedException;
 import hyssopturn.relay.AnswerMemory;
 import hyssopturn.relay.BoundedBody;
+import hyssopturn.relay.EndpointClient;
 
 import io.micrometer.core.instrument.MeterRegistry;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
@@ -24,7 +24,7 @@
     /** Time that a call may take beyond its timeout while bytes of the answer keep arriving. */
     private static final Duration MAX_EXTRA_TIME = Duration.ofSeconds(3);
 
-    private final HttpClient client;
+    private final EndpointClient client;
     private final Clock clock;
     private final AnswerMemory memory;
     private final MeterRegistry meters;
@@ -33,14 +33,14 @@
     /**
      * Creates a caller.
      *
-     * @param client HTTP client
+     * @param client opens requests
      * @param clock clock whose tasks run on the event loop of the client
      * @param memory limits the answers that are read at the same time
      * @param meters registry for the counters of calls and their outcomes
      * @param callee label value of the callees in the counters
      */
     HttpCalls(
-            HttpClient client,
+            EndpointClient client,
             Clock clock,
             AnswerMemory memory,
             MeterRegistry meters,
--- a/src/main/java/hyssopturn/platform/PlatformAdapter.java
+++ b/src/main/java/hyssopturn/platform/PlatformAdapter.java
@@ -9,6 +9,7 @@
 import hyssopturn.port.EngineControl;
 import hyssopturn.port.KeyedLog;
 import hyssopturn.relay.AnswerMemory;
+import hyssopturn.relay.EndpointClient;
 import hyssopturn.relay.EndpointNotices;
 import hyssopturn.relay.HeaderCodec;
 
@@ -30,7 +31,7 @@
      *
      * @param settings the platform's settings
      * @param storeClient HTTP client for the log store
-     * @param engineClient HTTP client for engines
+     * @param engineClient opens requests to engines
      * @param clock clock whose tasks run on the event loop of the clients
      * @param memory limits the answers that are read at the same time
      * @param notices receives what endpoints say about themselves
@@ -39,14 +40,14 @@
     public PlatformAdapter(
             PlatformSettings settings,
             HttpClient storeClient,
-            HttpClient engineClient,
+            EndpointClient engineClient,
             Clock clock,
             AnswerMemory memory,
             EndpointNotices notices,
             MeterRegistry meters) {
         store =
                 new LogStoreClient(
-                        new HttpCalls(storeClient, clock, memory, meters, "store"),
+                        new HttpCalls(storeClient::request, clock, memory, meters, "store"),
                         settings.store());
         duties = new GroupDuties(store, settings.node(), settings.peers(), settings.partitions());
         headers = new PlatformHeaders(meters);
--- a/src/main/java/hyssopturn/platform/PlatformSettings.java
+++ b/src/main/java/hyssopturn/platform/PlatformSettings.java
@@ -67,6 +67,7 @@
     private static final int METRICS_PORT = 0;
     private static final int PEER_PORT = 1;
     private static final int LOAD_PORT = 3;
+    private static final int TUNNEL_PORT = 4;
     private static final double DEFAULT_LEAVE_NOTICE_MILLIS = 2_000;
     private static final double DEFAULT_CATCH_UP_MILLIS = 3_000;
 
@@ -142,6 +143,25 @@
         return new Address(peers.host(), peers.port() + LOAD_PORT - PEER_PORT);
     }
 
+    /**
+     * Returns the address at which other nodes ask this one for connections to endpoints.
+     *
+     * @return the address, on the fifth of the ports that the platform reserves
+     */
+    public Address tunnels() {
+        return tunnels(peers);
+    }
+
+    /**
+     * Returns the address at which a node is asked for connections to endpoints.
+     *
+     * @param peers address at which other nodes reach the node
+     * @return the address; all nodes use the reserved ports in the same order
+     */
+    public static Address tunnels(Address peers) {
+        return new Address(peers.host(), peers.port() + TUNNEL_PORT - PEER_PORT);
+    }
+
     /** Returns one of the addresses that the platform reserves for the product's own use. */
     private static Address internal(JsonNode file, int index) {
         return new Address(text(file, "Ip"), file.path("InternalPorts").path(0).asInt() + index);
--- a/src/main/java/hyssopturn/relay/Call.java
+++ b/src/main/java/hyssopturn/relay/Call.java
@@ -14,6 +14,8 @@
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 
@@ -206,6 +208,16 @@
                 MultiMap.caseInsensitiveMultiMap());
     }
 
+    /**
+     * Returns whether an answer ends with a connection to another node, whose own end may have cut
+     * it off.
+     */
+    final boolean endUnproved(HttpClientResponse answer) {
+        return context.client().indirect(answer.request())
+                && !answer.headers().contains(HttpHeaders.CONTENT_LENGTH)
+                && !answer.headers().contains(HttpHeaders.TRANSFER_ENCODING);
+    }
+
     /** Returns whether the route, and the endpoint's limit, allow an attempt at the endpoint. */
     final boolean mayAttempt(Endpoint endpoint) {
         return (attemptedEndpoints.contains(endpoint) || mayAttemptAnother()) && open(endpoint);
--- a/src/main/java/hyssopturn/relay/PlainCall.java
+++ b/src/main/java/hyssopturn/relay/PlainCall.java
@@ -229,6 +229,10 @@
             handleFailure(attempt, "foreign answer", Outcome.FAILURE);
             return;
         }
+        if (endUnproved(answer)) {
+            handleFailure(attempt, "end unproved", Outcome.NONE);
+            return;
+        }
         if (reply.unprovedRefusal()) {
             boolean paused = reply.notice().pause().isPresent();
             handleFailure(attempt, "unproved refusal", paused ? Outcome.NONE : Outcome.FAILURE);
--- a/src/main/java/hyssopturn/relay/RelayContext.java
+++ b/src/main/java/hyssopturn/relay/RelayContext.java
@@ -12,7 +12,6 @@
 
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
-import io.vertx.core.http.HttpClient;
 
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
@@ -22,7 +21,7 @@
  *
  * @param routingState configuration and endpoints known to the node
  * @param headerCodec reads and writes the headers exchanged with callers and endpoints
- * @param client HTTP client for connections to endpoints
+ * @param client opens requests to endpoints
  * @param clock clock and timer, whose tasks run on the node's event loop
  * @param random random number generator
  * @param retryBudget limits how often requests are sent again
@@ -45,7 +44,7 @@
 public record RelayContext(
         RoutingState routingState,
         HeaderCodec headerCodec,
-        HttpClient client,
+        EndpointClient client,
         Clock clock,
         RandomGenerator random,
         RetryBudget retryBudget,
--- a/src/main/java/hyssopturn/relay/StreamAttempt.java
+++ b/src/main/java/hyssopturn/relay/StreamAttempt.java
@@ -181,7 +181,8 @@
                                 .hold(() -> call.recover(this, "memory for answers used up")));
         ReadPacer pacer = new ReadPacer(context.clock(), answer);
         answer.handler(bytes -> handleBytes(answer, pacer, bytes));
-        answer.endHandler(v -> call.end(this, framer.incomplete()));
+        boolean endUnproved = call.endUnproved(answer);
+        answer.endHandler(v -> call.end(this, endUnproved || framer.incomplete()));
         answer.exceptionHandler(e -> call.cutOff(this, "stream cut off"));
     }
 
--- a/src/test/java/hyssopturn/platform/AnswerEndsTest.java
+++ b/src/test/java/hyssopturn/platform/AnswerEndsTest.java
@@ -82,7 +82,7 @@
             HttpEngineControl control =
                     EngineControls.of(
                             new HttpCalls(
-                                    vertx.createHttpClient(),
+                                    vertx.createHttpClient()::request,
                                     new VirtualClock(0),
                                     new AnswerMemory(Long.MAX_VALUE),
                                     new SimpleMeterRegistry(),
--- a/src/test/java/hyssopturn/platform/EndlessAnswersTest.java
+++ b/src/test/java/hyssopturn/platform/EndlessAnswersTest.java
@@ -181,7 +181,7 @@
             EndlessServer worker = worker("HTTP/1.1 200 OK\\r\\n\\r\\n", "more", ALL);
             HttpCalls calls =
                     new HttpCalls(
-                            vertx.createHttpClient(),
+                            vertx.createHttpClient()::request,
                             new VirtualClock(0),
                             new AnswerMemory(Long.MAX_VALUE),
                             new SimpleMeterRegistry(),
--- a/src/test/java/hyssopturn/platform/HttpEngineControlTest.java
+++ b/src/test/java/hyssopturn/platform/HttpEngineControlTest.java
@@ -43,7 +43,7 @@
                         .actualPort();
         HttpCalls calls =
                 new HttpCalls(
-                        vertx.createHttpClient(),
+                        vertx.createHttpClient()::request,
                         new VirtualClock(0),
                         new AnswerMemory(Long.MAX_VALUE),
                         new SimpleMeterRegistry(),
--- a/src/test/java/hyssopturn/platform/LogStoreClientTest.java
+++ b/src/test/java/hyssopturn/platform/LogStoreClientTest.java
@@ -74,7 +74,7 @@
         store =
                 new LogStoreClient(
                         new HttpCalls(
-                                vertx.createHttpClient(),
+                                vertx.createHttpClient()::request,
                                 new VirtualClock(0),
                                 new AnswerMemory(Long.MAX_VALUE),
                                 new SimpleMeterRegistry(),
--- a/src/test/java/hyssopturn/platform/RelayHarness.java
+++ b/src/test/java/hyssopturn/platform/RelayHarness.java
@@ -145,7 +145,7 @@
                 new RelayContext(
                         knowledge,
                         headers,
-                        client,
+                        client::request,
                         clock,
                         new SplittableRandom(1),
                         retryBudget,
@@ -179,7 +179,7 @@
                         parts,
                         new HttpEngineControl(
                                 new HttpCalls(
-                                        client,
+                                        client::request,
                                         clock,
                                         answerMemory,
                                         new SimpleMeterRegistry(),
