--- a/src/main/java/hyssopturn/chain/CoverSearch.java
+++ b/src/main/java/hyssopturn/chain/CoverSearch.java
@@ -18,9 +18,9 @@
  *
  * <p>The search is a dynamic program over the layers. Engines that hold layers are visited in the
  * order of these; each may be left out, keep its layers, or hold others that continue those of the
- * engines before it. Many engines may so move by a layer or two, where no single move helps. A few
- * engines are free: those without layers, and those of which all layers have further copies. A free
- * engine may be used anywhere.
+ * engines before it and overlap its own. Many engines may so move by a layer or two, where no
+ * single move helps. A few engines are free: those without layers, and those of which all layers
+ * have further copies. A free engine may be used anywhere.
  */
 final class CoverSearch {
     /** Cost of changing an engine besides the layers to load, in layers. */
@@ -30,7 +30,7 @@
     private static final double DROP_COST = 0.25;
 
     /** Greatest number of free engines; the time of a search doubles with each. */
-    private static final int MAX_FREE = 5;
+    private static final int MAX_FREE = 3;
 
     private final EngineSpec spec;
     private final double requests;
@@ -62,7 +62,12 @@
         for (Endpoint engine : engines) {
             int freeIndex = movable.indexOf(engine);
             Member member =
-                    new Member(engine, capacity(engine), freeIndex < 0 ? 0 : 1 << freeIndex);
+                    new Member(
+                            engine,
+                            engine.layers().map(LayerRange::from).orElse(0),
+                            engine.layers().map(LayerRange::to).orElse(0),
+                            capacity(engine),
+                            freeIndex < 0 ? 0 : 1 << freeIndex);
             if (freeIndex >= 0) {
                 free.add(member);
             }
@@ -72,30 +77,38 @@
         }
     }
 
-    /** An engine, the most layers that it should hold, and the bit that marks it if it is free. */
-    private record Member(Endpoint engine, int capacity, int bit) {
-        double costOf(LayerRange range) {
-            Optional<LayerRange> held = engine.layers();
-            if (held.equals(Optional.of(range))) {
+    /**
+     * An engine, the layers that it holds (none if both ends are 0), the most layers that it should
+     * hold, and the bit that marks it if it is free.
+     */
+    private record Member(Endpoint engine, int heldFrom, int heldTo, int capacity, int bit) {
+        double costOf(int from, int to) {
+            if (from == heldFrom && to == heldTo) {
                 return 0;
             }
-            int kept = held.map(h -> h.overlap(range)).orElse(0);
-            int dropped = held.map(LayerRange::size).orElse(0) - kept;
-            return CHANGE_COST + range.size() - kept + DROP_COST * dropped;
+            int kept = Math.max(0, Math.min(to, heldTo) - Math.max(from, heldFrom));
+            int dropped = heldTo - heldFrom - kept;
+            return CHANGE_COST + to - from - kept + DROP_COST * dropped;
         }
-    }
 
-    /** The cheapest way to hold the layers below one, with the free engines that it uses. */
-    private record Label(
-            int layer, int used, double cost, Member member, LayerRange range, Label previous) {
-        private static final Label START = new Label(0, 0, 0, null, null, null);
+        boolean holdsLayers() {
+            return heldTo > heldFrom;
+        }
 
-        Label with(Member next, LayerRange range) {
-            return new Label(
-                    range.to(), used | next.bit, cost + next.costOf(range), next, range, this);
+        boolean changes(int from, int to) {
+            return from != heldFrom || to != heldTo;
         }
     }
 
+    /**
+     * The cheapest way to hold the layers below one, with the free engines that it uses, and the
+     * layers from which on its last engine holds them.
+     */
+    private record Label(
+            int layer, int used, double cost, Member member, int from, Label previous) {
+        private static final Label START = new Label(0, 0, 0, null, 0, null);
+    }
+
     /**
      * Changes that make engines hold every layer.
      *
@@ -150,23 +163,30 @@
     private void useFree(Label[][] best) {
         for (int layer = 0; layer < spec.layers(); layer++) {
             for (int used = 0; used < best[layer].length; used++) {
+                Label label = best[layer][used];
+                if (label == null) {
+                    continue;
+                }
                 for (Member member : free) {
-                    if (best[layer][used] != null && (used & member.bit) == 0) {
-                        extend(best[layer][used], member, best);
+                    if ((used & member.bit) == 0) {
+                        extend(label, member, label.layer + 1, best);
                     }
                 }
             }
         }
     }
 
+    /** Extends the labels by an engine that holds layers, which it keeps or shifts. */
     private Label[][] useOnce(Member member, Label[][] best) {
         Label[][] next = new Label[best.length][];
         Arrays.setAll(next, layer -> best[layer].clone());
-        for (int layer = 0; layer < spec.layers(); layer++) {
+        int first = Math.max(0, member.heldFrom - member.capacity + 1);
+        int last = Math.min(member.heldTo, spec.layers()) - 1;
+        for (int layer = first; layer <= last; layer++) {
             for (Label label : best[layer]) {
                 if (label != null && (label.used & member.bit) == 0) {
                     keep(label, member, next);
-                    extend(label, member, next);
+                    extend(label, member, Math.max(layer, member.heldFrom) + 1, next);
                 }
             }
         }
@@ -174,35 +194,33 @@
     }
 
     private static void keep(Label label, Member member, Label[][] best) {
-        LayerRange held = member.engine.layers().orElseThrow();
-        if (held.from() <= label.layer && held.to() > label.layer && fits(held, member)) {
-            add(label.with(member, held), best);
+        boolean fits = member.heldTo - member.heldFrom <= member.capacity;
+        if (fits && member.heldFrom <= label.layer && member.heldTo > label.layer) {
+            add(label, member, member.heldFrom, member.heldTo, best);
         }
     }
 
-    private static boolean fits(LayerRange range, Member member) {
-        return range.size() <= member.capacity;
-    }
-
     /**
-     * Continues a label by each number of layers, from the layer where it ends or an earlier one.
+     * Continues a label by several numbers of layers, from the layer where it ends or an earlier
+     * one.
      */
-    private void extend(Label label, Member member, Label[][] best) {
+    private void extend(Label label, Member member, int firstEnd, Label[][] best) {
         int last = Math.min(spec.layers(), label.layer + member.capacity);
-        for (int end = label.layer + 1; end <= last; end++) {
-            add(label.with(member, new LayerRange(label.layer, end)), best);
-            int earliest = end - member.capacity;
-            int from = member.engine.layers().map(h -> Math.max(h.from(), earliest)).orElse(end);
-            if (from < label.layer) {
-                add(label.with(member, new LayerRange(from, end)), best);
+        for (int end = firstEnd; end <= last; end++) {
+            add(label, member, label.layer, end, best);
+            int from = Math.max(member.heldFrom, end - member.capacity);
+            if (member.holdsLayers() && from < label.layer) {
+                add(label, member, from, end, best);
             }
         }
     }
 
-    private static void add(Label label, Label[][] best) {
-        Label known = best[label.layer][label.used];
-        if (known == null || label.cost < known.cost) {
-            best[label.layer][label.used] = label;
+    private static void add(Label label, Member member, int from, int to, Label[][] best) {
+        int used = label.used | member.bit;
+        double cost = label.cost + member.costOf(from, to);
+        Label known = best[to][used];
+        if (known == null || cost < known.cost) {
+            best[to][used] = new Label(to, used, cost, member, from, label);
         }
     }
 
@@ -210,10 +228,11 @@
         Map<Endpoint, LayerRange> ranges = new LinkedHashMap<>();
         int loaded = 0;
         for (Label label = end; label.previous != null; label = label.previous) {
-            Optional<LayerRange> held = label.member.engine.layers();
-            if (!held.equals(Optional.of(label.range))) {
-                ranges.put(label.member.engine, label.range);
-                loaded += label.range.size() - held.map(label.range::overlap).orElse(0);
+            Member member = label.member;
+            if (member.changes(label.from, label.layer)) {
+                LayerRange range = new LayerRange(label.from, label.layer);
+                ranges.put(member.engine, range);
+                loaded += range.size() - member.engine.layers().map(range::overlap).orElse(0);
             }
         }
         return new Cover(ranges, loaded);
--- a/src/main/java/hyssopturn/chain/LayerController.java
+++ b/src/main/java/hyssopturn/chain/LayerController.java
@@ -30,6 +30,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.ObjLongConsumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 /**
  * Orders engines to load the layers of the plan, while this node holds the placement duty.
@@ -65,6 +66,7 @@
     private final ObjLongConsumer<Duties.Assignment> listener;
     private final Map<InstanceId, PendingOrder> pendingOrders = new HashMap<>();
     private final Map<String, List<ZoneCoverage>> coverage = new HashMap<>();
+    private final Map<String, Set<Holding>> settledHoldings = new HashMap<>();
     private final Set<String> settledServices = new HashSet<>();
     private final Duration settleTime;
     private OptionalLong fence = OptionalLong.empty();
@@ -151,6 +153,7 @@
         if (held.isEmpty()) {
             settledServices.clear();
             coverage.clear();
+            settledHoldings.clear();
         }
         if (!held.equals(fence)) {
             trace.record(new TraceEvent.Duty(held.isPresent(), held.orElse(-1)));
@@ -180,7 +183,7 @@
         if (settled(service.name(), now)) {
             List<Endpoint> live = live(service.name(), now);
             recordCoverage(service.name(), ZoneCoverage.of(service.engine().get(), live));
-            sendOrders(service.engine().get(), live, now);
+            sendOrders(service.name(), service.engine().get(), live, now);
         }
     }
 
@@ -217,16 +220,33 @@
                 || (roster.settled(service, settleTime, now) && settledServices.add(service));
     }
 
-    private void sendOrders(EngineSpec spec, List<Endpoint> live, long now) {
+    private void sendOrders(String service, EngineSpec spec, List<Endpoint> live, long now) {
         List<Endpoint> expected = live.stream().map(e -> expected(e, now)).toList();
-        for (LayerPlanner.Assignment assignment :
-                new LayerPlanner(spec).plan(expected, loading(live, now))) {
+        Map<InstanceId, Integer> loading = loading(live, now);
+        Set<Holding> holdings = holdings(expected, loading);
+        if (holdings.equals(settledHoldings.get(service))) {
+            return;
+        }
+        List<LayerPlanner.Assignment> plan = new LayerPlanner(spec).plan(expected, loading);
+        if (plan.isEmpty()) {
+            settledHoldings.put(service, holdings);
+        }
+        for (LayerPlanner.Assignment assignment : plan) {
             if (!pendingOrders.containsKey(assignment.engine().id())) {
                 send(assignment, now);
             }
         }
     }
 
+    /** What a plan depends on of an engine; a plan is not made again while nothing changes. */
+    private record Holding(InstanceId engine, Optional<LayerRange> layers, boolean loading) {}
+
+    private static Set<Holding> holdings(List<Endpoint> engines, Map<InstanceId, Integer> loading) {
+        return engines.stream()
+                .map(e -> new Holding(e.id(), e.layers(), loading.getOrDefault(e.id(), 0) > 0))
+                .collect(Collectors.toSet());
+    }
+
     /**
      * Returns the engines that carry out an order, with the layers that they still load. Loads that
      * take long do not hold up others.
