Up to five empty engines take part in the repair of a zone

Four engines that crash together return together, and with three free ones the fourth was only filled afterwards. Empty engines come first, at most two that hold spare copies take part.

--- a/src/main/java/hyssopturn/chain/CoverSearch.java
+++ b/src/main/java/hyssopturn/chain/CoverSearch.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * Finds the cheapest changes by which engines together hold every layer, each with memory for a
@@ -30,7 +31,10 @@
     private static final double DROP_COST = 0.25;
 
     /** Greatest number of free engines; the time of a search doubles with each. */
-    private static final int MAX_FREE = 3;
+    private static final int MAX_FREE = 5;
+
+    /** Greatest number of free engines that hold layers. */
+    private static final int MAX_FREE_HOLDING = 2;
 
     private final EngineSpec spec;
     private final double requests;
@@ -49,16 +53,7 @@
         this.spec = spec;
         this.requests = requests;
         copies = copies(spec, engines);
-        List<Endpoint> movable =
-                engines.stream()
-                        .filter(e -> e.layers().isEmpty() || spareCopies(e) > 0)
-                        .sorted(
-                                Comparator.comparing((Endpoint e) -> e.layers().isPresent())
-                                        .thenComparing(e -> -spareCopies(e))
-                                        .thenComparing(e -> -capacity(e))
-                                        .thenComparing(Endpoint::id))
-                        .limit(MAX_FREE)
-                        .toList();
+        List<Endpoint> movable = movable(engines);
         for (Endpoint engine : engines) {
             int freeIndex = movable.indexOf(engine);
             Member member =
@@ -77,6 +72,23 @@
         }
     }
 
+    /**
+     * Returns the free engines: those without layers, then some of which all layers have copies.
+     */
+    private List<Endpoint> movable(List<Endpoint> engines) {
+        Comparator<Endpoint> largest =
+                Comparator.comparing((Endpoint e) -> -capacity(e)).thenComparing(Endpoint::id);
+        Stream<Endpoint> empty = engines.stream().filter(e -> e.layers().isEmpty()).sorted(largest);
+        Stream<Endpoint> spare =
+                engines.stream()
+                        .filter(e -> spareCopies(e) > 0)
+                        .sorted(
+                                Comparator.comparing((Endpoint e) -> -spareCopies(e))
+                                        .thenComparing(largest))
+                        .limit(MAX_FREE_HOLDING);
+        return Stream.concat(empty, spare).limit(MAX_FREE).toList();
+    }
+
     /**
      * An engine, the layers that it holds (none if both ends are 0), the most layers that it should
      * hold, and the bit that marks it if it is free.
