--- a/src/main/java/hyssopturn/platform/PlatformAdapter.java
+++ b/src/main/java/hyssopturn/platform/PlatformAdapter.java
@@ -47,7 +47,12 @@
             MeterRegistry meters) {
         store =
                 new LogStoreClient(
-                        new HttpCalls(storeClient::request, clock, memory, meters, "store"),
+                        new HttpCalls(
+                                options -> storeClient.request(options),
+                                clock,
+                                memory,
+                                meters,
+                                "store"),
                         settings.store());
         duties = new GroupDuties(store, settings.node(), settings.peers(), settings.partitions());
         headers = new PlatformHeaders(meters);
